--- /dev/null
+++ b/persimmonquay/base/logging.cc
@@ -0,0 +1,81 @@
+#include "persimmonquay/base/logging.h"
+
+#include "persimmonquay/base/time.h"
+#include <absl/strings/str_cat.h>
+#include <array>
+#include <atomic>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/utility/setup/console.hpp>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace persimmonquay {
+namespace internal {
+
+constexpr std::array<std::string_view, 5> LevelNames = {
+    "trace", "debug", "info", "warning", "error"};
+
+struct LogContext {
+  std::string Node;
+  std::string DataCentre;
+  std::atomic<std::uint64_t> ConfigVersion = 0;
+};
+
+LogContext &logContext() {
+  static LogContext Context;
+  return Context;
+}
+
+} // namespace internal
+
+absl::Status parseLogLevel(std::string_view Text, LogLevel *Level) {
+  for (std::size_t I = 0; I < internal::LevelNames.size(); ++I) {
+    if (internal::LevelNames[I] != Text)
+      continue;
+    *Level = static_cast<LogLevel>(I);
+    return absl::OkStatus();
+  }
+  return absl::InvalidArgumentError(
+      absl::StrCat("log level \"", std::string(Text),
+                   "\" is none of trace, debug, info, warning, error"));
+}
+
+void initLogging(LogLevel Lowest, const std::string &Node,
+                 const std::string &DataCentre) {
+  namespace logging = boost::log;
+  internal::logContext().Node = Node;
+  internal::logContext().DataCentre = DataCentre;
+  logging::add_console_log(std::clog,
+                           logging::keywords::format =
+                               logging::expressions::stream
+                               << logging::expressions::smessage,
+                           logging::keywords::auto_flush = true);
+  logging::core::get()->set_filter(
+      logging::expressions::attr<int>("Severity") >= static_cast<int>(Lowest));
+}
+
+void setLoggedConfigVersion(std::uint64_t Version) {
+  internal::logContext().ConfigVersion = Version;
+}
+
+void logLine(LogLevel Level, std::string_view Message,
+             std::initializer_list<LogField> Fields) {
+  thread_local boost::log::sources::severity_logger<int> Logger;
+  const internal::LogContext &Context = internal::logContext();
+  nlohmann::ordered_json Line;
+  Line["unix_ms"] = unixMillis(wallNow());
+  Line["level"] = internal::LevelNames[static_cast<std::size_t>(Level)];
+  Line["node"] = Context.Node;
+  Line["data_centre"] = Context.DataCentre;
+  Line["config_version"] = Context.ConfigVersion.load();
+  Line["message"] = Message;
+  for (const LogField &Field : Fields)
+    Line[std::string(Field.Name)] = Field.Value;
+  BOOST_LOG_SEV(Logger, static_cast<int>(Level))
+      << Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace persimmonquay
--- /dev/null
+++ b/persimmonquay/config/serving_configuration.cc
@@ -0,0 +1,47 @@
+#include "persimmonquay/config/serving_configuration.h"
+
+namespace persimmonquay {
+
+std::shared_ptr<const ServingConfiguration>
+ServingConfiguration::compile(const proto::ConfigurationState &State) {
+  std::shared_ptr<ServingConfiguration> Result(new ServingConfiguration());
+  Result->Version = State.version();
+  std::map<std::string, std::shared_ptr<const proto::Move>> MoveOfService;
+  for (const auto &[Name, Move] : State.moves()) {
+    if (Move.state() != proto::ACTIVE)
+      continue;
+    auto Shared = std::make_shared<const proto::Move>(Move.move());
+    MoveOfService[Move.move().service()] = Shared;
+    Result->Moves.push_back(std::move(Shared));
+  }
+  for (const auto &[Name, Route] : State.routes()) {
+    const std::string &Service = Route.route().service();
+    const auto Found = State.services().find(Service);
+    if (Found == State.services().end())
+      return nullptr;
+    const auto Move = MoveOfService.find(Service);
+    Result->ByPrefix[Route.route().path_prefix()] =
+        Target{Route.route(), Found->second.service(),
+               Move == MoveOfService.end() ? nullptr : Move->second};
+  }
+  return Result;
+}
+
+const ServingConfiguration::Target *
+ServingConfiguration::findRoute(std::string_view Path) const {
+  std::string_view Prefix = Path;
+  while (!Prefix.empty()) {
+    const auto Found = this->ByPrefix.find(Prefix);
+    if (Found != this->ByPrefix.end())
+      return &Found->second;
+    const std::size_t Slash = Prefix.rfind('/');
+    if (Slash == std::string_view::npos)
+      return nullptr;
+    // First "/a/" and then "/a", so that both spellings of a prefix match.
+    Prefix = Slash + 1 == Prefix.size() ? Prefix.substr(0, Slash)
+                                        : Prefix.substr(0, Slash + 1);
+  }
+  return nullptr;
+}
+
+} // namespace persimmonquay
--- /dev/null
+++ b/persimmonquay/membership/fact_table.cc
@@ -0,0 +1,80 @@
+#include "persimmonquay/membership/fact_table.h"
+
+#include "persimmonquay/base/hashing.h"
+#include <absl/strings/str_cat.h>
+
+namespace persimmonquay {
+namespace internal {
+
+constexpr std::size_t kMaxFacts = 20000;
+constexpr std::size_t kMaxDetailBytes = 200;
+
+std::uint64_t hashFact(const proto::Fact &Fact) {
+  return hashBytes(absl::StrCat(static_cast<int>(Fact.kind()), " ", Fact.key(),
+                                " ", Fact.level(), " ", Fact.detail()));
+}
+
+bool isNewer(const proto::Fact &Heard, const proto::Fact &Known) {
+  if (Heard.level() != Known.level())
+    return Heard.level() > Known.level();
+  return Heard.detail() < Known.detail();
+}
+
+} // namespace internal
+
+bool FactTable::merge(const proto::Fact &Heard, WallTime Now) {
+  if (Heard.kind() == proto::FACT_KIND_UNSPECIFIED || Heard.key().empty() ||
+      Heard.expires_unix_ms() <= unixMillis(Now))
+    return false;
+  if (Heard.detail().size() > internal::kMaxDetailBytes)
+    return false;
+  const auto Key = std::make_pair(static_cast<int>(Heard.kind()), Heard.key());
+  const auto Found = this->Facts.find(Key);
+  if (Found == this->Facts.end()) {
+    if (this->Facts.size() >= internal::kMaxFacts)
+      return false;
+    this->Facts.emplace(Key, Heard);
+    this->Hash ^= internal::hashFact(Heard);
+    return true;
+  }
+  if (!internal::isNewer(Heard, Found->second))
+    return false;
+  this->Hash ^= internal::hashFact(Found->second);
+  this->Hash ^= internal::hashFact(Heard);
+  Found->second = Heard;
+  return true;
+}
+
+void FactTable::dropExpired(WallTime Now) {
+  for (auto It = this->Facts.begin(); It != this->Facts.end();) {
+    if (It->second.expires_unix_ms() > unixMillis(Now)) {
+      ++It;
+      continue;
+    }
+    this->Hash ^= internal::hashFact(It->second);
+    It = this->Facts.erase(It);
+  }
+}
+
+std::uint64_t FactTable::level(proto::FactKind Kind,
+                               const std::string &Key) const {
+  const proto::Fact *Found = this->find(Kind, Key);
+  return Found == nullptr ? 0 : Found->level();
+}
+
+const proto::Fact *FactTable::find(proto::FactKind Kind,
+                                   const std::string &Key) const {
+  const auto Found =
+      this->Facts.find(std::make_pair(static_cast<int>(Kind), Key));
+  return Found == this->Facts.end() ? nullptr : &Found->second;
+}
+
+std::vector<proto::Fact> FactTable::all() const {
+  std::vector<proto::Fact> Result;
+  Result.reserve(this->Facts.size());
+  for (const auto &[Key, Fact] : this->Facts)
+    Result.push_back(Fact);
+  return Result;
+}
+
+} // namespace persimmonquay
--- /dev/null
+++ b/persimmonquay/move/latency_buckets.cc
@@ -0,0 +1,35 @@
+#include "persimmonquay/move/latency_buckets.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace persimmonquay {
+namespace internal {
+
+constexpr double kFirstBucketMicros = 500.0;
+
+} // namespace internal
+
+std::size_t latencyBucket(std::chrono::microseconds Latency) {
+  const double Ratio =
+      static_cast<double>(Latency.count()) / internal::kFirstBucketMicros;
+  if (Ratio <= 1.0)
+    return 0;
+  const auto Bucket =
+      static_cast<std::size_t>(std::ceil(2.0 * std::log2(Ratio)));
+  return std::min(Bucket, kLatencyBuckets - 1);
+}
+
+std::size_t quantileBucket(std::span<const double> Counts, double Fraction) {
+  const double Total = std::accumulate(Counts.begin(), Counts.end(), 0.0);
+  double Sum = 0.0;
+  for (std::size_t I = 0; I < Counts.size(); ++I) {
+    Sum += Counts[I];
+    if (Total > 0.0 && Sum >= Fraction * Total)
+      return I;
+  }
+  return kLatencyBuckets - 1;
+}
+
+} // namespace persimmonquay
--- /dev/null
+++ b/persimmonquay/move/move_policy.cc
@@ -0,0 +1,160 @@
+#include "persimmonquay/move/move_policy.h"
+
+#include "persimmonquay/move/evidence_table.h"
+#include "proto/configuration.pb.h"
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <algorithm>
+#include <cmath>
+
+namespace persimmonquay {
+namespace internal {
+
+constexpr std::size_t kLastStep = kStepShares.size() - 1;
+
+/// Calls of the new version wanted at a step before the next one.
+constexpr double kWantedCalls = 60;
+
+/// Part of the time before the bake that is left as a reserve.
+constexpr double kReserve = 0.1;
+
+/// Criteria tested for each route: errors and latency.
+constexpr double kCriteria = 2;
+
+double plannedSpans(WallTime Start, WallTime Due) {
+  return static_cast<double>((Due - Start) / kEvidenceSpan + 1);
+}
+
+} // namespace internal
+
+MovePolicy::Builder::Builder(const proto::Move &Move)
+    : Start(wallTimeFromUnixMillis(Move.start_unix_ms())),
+      Due(wallTimeFromUnixMillis(Move.due_unix_ms())), Bake(Move.bake_ms()) {
+  if (Move.tolerated_errors_ppm() > 0)
+    this->Limits.ToleratedErrors = Move.tolerated_errors_ppm() / 1e6;
+}
+
+MovePolicy::Builder &MovePolicy::Builder::limits(const HarmLimits &Value) {
+  this->Limits = Value;
+  return *this;
+}
+
+MovePolicy::Builder &MovePolicy::Builder::falseAlarmRate(double Value) {
+  this->FalseAlarmRate = Value;
+  return *this;
+}
+
+MovePolicy MovePolicy::Builder::build() const { return MovePolicy(*this); }
+
+MovePolicy::MovePolicy(const Builder &Settings) : Settings(Settings) {}
+
+Millis MovePolicy::stepInterval() const {
+  const Millis Ramp =
+      this->Settings.Due - this->Settings.Start - this->Settings.Bake;
+  const double Usable =
+      static_cast<double>(Ramp.count()) * (1 - internal::kReserve);
+  return Millis(static_cast<std::int64_t>(
+      Usable / static_cast<double>(internal::kLastStep + 1)));
+}
+
+WallTime MovePolicy::plannedStart(std::size_t Step) const {
+  return this->Settings.Start +
+         static_cast<std::int64_t>(Step) * this->stepInterval();
+}
+
+std::uint32_t MovePolicy::share(const MoveProgress &Progress,
+                                WallTime Now) const {
+  if (Progress.TakenBack || Now < this->Settings.Start)
+    return 0;
+  if (Progress.RetreatUntil && Now < *Progress.RetreatUntil)
+    return kStepShares.front();
+  return kStepShares[std::min(Progress.Step, internal::kLastStep)];
+}
+
+MovePolicy::Judgement MovePolicy::judge(const EvidenceTable &Evidence) const {
+  Judgement Worst;
+  const double Spans =
+      internal::plannedSpans(this->Settings.Start, this->Settings.Due);
+  const auto Routes = Evidence.byRoute();
+  const double Tests = internal::kCriteria * std::max<double>(1, Routes.size());
+  for (const auto &[Route, Counts] : Routes) {
+    const HarmEvidence Errors =
+        errorEvidence(Counts, this->Settings.Limits, Spans);
+    const HarmEvidence Slow =
+        latencyEvidence(Counts, this->Settings.Limits, Spans);
+    Worst.IsSuspicious |= Errors.isSuspicious() || Slow.isSuspicious();
+    for (const auto &[Harm, Name] :
+         {std::pair(Errors, "fails more often"), std::pair(Slow, "is slower")})
+      if (Harm.logHarm() > Worst.LogHarm) {
+        Worst.LogHarm = Harm.logHarm();
+        Worst.Reason = absl::StrFormat(
+            "on route \"%s\" the new version %s than the old one: evidence "
+            "%.3g against a limit of %.3g",
+            Route, Name, std::exp(Harm.logHarm()),
+            Tests / this->Settings.FalseAlarmRate);
+      }
+  }
+  Worst.LogHarm -= std::log(Tests);
+  return Worst;
+}
+
+MoveDecision MovePolicy::decide(const EvidenceTable &Evidence,
+                                const MoveProgress &Progress,
+                                const VersionCapacity &Capacity,
+                                WallTime Now) const {
+  using Kind = MoveDecision::Kind;
+  if (Progress.TakenBack || Now < this->Settings.Start)
+    return {};
+  const Judgement Found = this->judge(Evidence);
+  if (Found.LogHarm >= -std::log(this->Settings.FalseAlarmRate))
+    return {Kind::TakeBack, Found.Reason, ""};
+  const bool Retreated = Progress.RetreatUntil && Now < *Progress.RetreatUntil;
+  if (Found.IsSuspicious) {
+    if (Progress.Step > 0 && !Retreated)
+      return {Kind::Retreat, "the new version shows failures or slow calls",
+              ""};
+    MoveDecision Hold;
+    Hold.Reason = "waiting until the failures or slow calls are understood";
+    return Hold;
+  }
+  if (Retreated)
+    return {};
+  if (Progress.Step < internal::kLastStep)
+    return this->decideAdvance(Evidence, Progress, Capacity, Now);
+  if (Now >= Progress.StepEnteredAt + this->Settings.Bake)
+    return {Kind::Finish, "the bake time has passed without signs of harm", ""};
+  return {};
+}
+
+MoveDecision MovePolicy::decideAdvance(const EvidenceTable &Evidence,
+                                       const MoveProgress &Progress,
+                                       const VersionCapacity &Capacity,
+                                       WallTime Now) const {
+  using Kind = MoveDecision::Kind;
+  const std::size_t Next = Progress.Step + 1;
+  const WallTime Planned = this->plannedStart(Next);
+  if (Now < Planned)
+    return {};
+  const std::uint64_t Needed = kStepShares[Next] * Capacity.OldSlots;
+  if (1000 * Capacity.NewSlots < Needed) {
+    MoveDecision Hold;
+    Hold.Reason = absl::StrFormat(
+        "the new version has %d slots, but a share of %d in 1000 needs %d",
+        Capacity.NewSlots, kStepShares[Next], (Needed + 999) / 1000);
+    if (Now >= Planned + this->stepInterval() / 2)
+      Hold.Warning = absl::StrCat("can't finish in time: ", Hold.Reason);
+    return Hold;
+  }
+  const double Calls = Evidence.newCallsSince(Progress.StepEnteredAt);
+  // A quiet service gets half a step of extra time, and then goes on without
+  // the wanted number of calls rather than miss its time.
+  const bool TimePresses = Now >= Planned + this->stepInterval() / 2;
+  if (Calls < internal::kWantedCalls && !TimePresses)
+    return {};
+  return {Kind::Advance,
+          absl::StrFormat("step %d after %.0f calls without signs of harm",
+                          Next, Calls),
+          ""};
+}
+
+} // namespace persimmonquay
--- /dev/null
+++ b/persimmonquay/node/claim_desk.cc
@@ -0,0 +1,55 @@
+#include "persimmonquay/node/claim_desk.h"
+
+#include "persimmonquay/base/hashing.h"
+#include <absl/strings/str_cat.h>
+#include <random>
+#include <utility>
+
+namespace persimmonquay {
+namespace internal {
+
+constexpr Millis kFlushTimeout{1000};
+
+} // namespace internal
+
+ClaimDesk::ClaimDesk(HttpLogClient *Log, std::string Node, Millis KeyLifetime)
+    : Node(std::move(Node)), KeyLifetime(KeyLifetime),
+      Boot(std::random_device{}() * std::uint64_t{0x100000000} +
+           std::random_device{}()) {
+  for (std::size_t I = 0; I < kClaimStreams; ++I)
+    this->Streams.push_back(std::make_unique<ClaimStream<HttpLogClient>>(
+        Log, absl::StrCat("claims-", I)));
+}
+
+ClaimStream<HttpLogClient> &ClaimDesk::streamOf(const std::string &Key) {
+  return *this->Streams[hashBytes(Key) % kClaimStreams];
+}
+
+absl::StatusOr<ClaimAnswer> ClaimDesk::claim(const std::string &Key,
+                                             std::uint64_t Fingerprint,
+                                             MonoTime Deadline,
+                                             std::string *Attempt) {
+  WallTime CreatedAt;
+  absl::Status Valid = parseKeyTime(Key, &CreatedAt);
+  if (Valid.ok())
+    Valid = checkKeyAge(CreatedAt, this->KeyLifetime, wallNow());
+  if (!Valid.ok())
+    return Valid;
+  *Attempt = absl::StrCat(this->Node, "-", hashToHex(this->Boot), "-",
+                          this->NextAttempt++);
+  return this->streamOf(Key).claim(Key, *Attempt, Fingerprint, Deadline);
+}
+
+void ClaimDesk::recordLater(const proto::ClaimEvent &Event) {
+  this->streamOf(Event.key()).recordLater(Event);
+}
+
+void ClaimDesk::flush(WallTime Now) {
+  for (const auto &Stream : this->Streams) {
+    Stream->flush(internal::kFlushTimeout);
+    // Twice the lifetime, so that clocks that differ forget nothing in use.
+    Stream->forgetCreatedBefore(Now - 2 * this->KeyLifetime);
+  }
+}
+
+} // namespace persimmonquay
--- /dev/null
+++ b/persimmonquay/node/http_pool.cc
@@ -0,0 +1,180 @@
+#include "persimmonquay/node/http_pool.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Timespan.h>
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <array>
+#include <istream>
+#include <utility>
+
+namespace persimmonquay {
+namespace internal {
+
+/// Servers keep idle connections longer than this; see http_server.cc.
+constexpr Millis kMaxIdle{5000};
+constexpr std::size_t kMaxIdlePerPlace = 64;
+constexpr Millis kConnectTimeout{1000};
+constexpr std::size_t kMaxReplyBytes = 16 << 20;
+/// Longer than any idle time, so that the library never reconnects by itself.
+constexpr long kLibraryKeepAliveSeconds = 3600;
+
+using End = ExchangeResult::End;
+using Poco::Net::HTTPClientSession;
+
+Poco::Timespan toPoco(Millis Time) {
+  return Poco::Timespan(std::max<Millis::rep>(Time.count(), 1) * 1000);
+}
+
+/// Reads the body while checking time and length.
+bool readBody(std::istream &Stream, std::size_t Length, MonoTime Deadline,
+              std::string *Body) {
+  std::array<char, 16384> Buffer;
+  Body->clear();
+  while (Body->size() < Length && monoNow() < Deadline) {
+    const std::size_t Wanted = std::min(Buffer.size(), Length - Body->size());
+    Stream.read(Buffer.data(), static_cast<std::streamsize>(Wanted));
+    const auto Got = static_cast<std::size_t>(Stream.gcount());
+    if (Got == 0)
+      return false;
+    Body->append(Buffer.data(), Got);
+  }
+  return Body->size() == Length;
+}
+
+bool hasNoBody(const std::string &Method, int Status) {
+  return Method == "HEAD" || Status == 204 || Status == 304;
+}
+
+/// Receives the answer; returns an error text, empty for a whole answer.
+std::string receive(HTTPClientSession *Session, const std::string &Method,
+                    MonoTime Deadline, CallReply *Reply, bool *KeepAlive) {
+  Poco::Net::HTTPResponse Response;
+  std::istream &Stream = Session->receiveResponse(Response);
+  Reply->Status = Response.getStatus();
+  for (const auto &[Name, Value] : Response)
+    Reply->Headers.push_back(HeaderField{Name, Value});
+  *KeepAlive = Response.getKeepAlive();
+  if (hasNoBody(Method, Reply->Status))
+    return "";
+  const auto Length = Response.getContentLength64();
+  if (Response.getChunkedTransferEncoding() || Length < 0)
+    return "the answer does not state its length";
+  if (static_cast<std::size_t>(Length) > kMaxReplyBytes)
+    return absl::StrCat("the answer is longer than ", kMaxReplyBytes, " bytes");
+  if (!readBody(Stream, static_cast<std::size_t>(Length), Deadline,
+                &Reply->Body))
+    return "the answer was cut short";
+  return "";
+}
+
+std::unique_ptr<HTTPClientSession> connect(const std::string &Address,
+                                           std::uint16_t Port, Millis Timeout) {
+  Poco::Net::StreamSocket Socket;
+  Socket.connect(Poco::Net::SocketAddress(Address, Port),
+                 toPoco(std::min(Timeout, kConnectTimeout)));
+  Socket.setNoDelay(true);
+  auto Session = std::make_unique<HTTPClientSession>(Socket);
+  Session->setKeepAlive(true);
+  Session->setKeepAliveTimeout(Poco::Timespan(kLibraryKeepAliveSeconds, 0));
+  return Session;
+}
+
+} // namespace internal
+
+HttpPool::HttpPool() = default;
+HttpPool::~HttpPool() = default;
+
+ExchangeResult HttpPool::exchange(const std::string &Address,
+                                  std::uint16_t Port,
+                                  const CallRequest &Request, Millis Timeout) {
+  const std::string Place = absl::StrCat(Address, ":", Port);
+  const MonoTime Deadline = monoNow() + Timeout;
+  ExchangeResult Result;
+  std::unique_ptr<Session> Connection = this->takeIdle(Place);
+  try {
+    if (Connection == nullptr)
+      Connection = internal::connect(Address, Port, Timeout);
+  } catch (const Poco::Exception &Error) {
+    Result.Detail = absl::StrCat(Place, ": ", Error.displayText());
+    return Result;
+  }
+  Result.Ended = internal::End::AnswerLost;
+  bool KeepAlive = false;
+  try {
+    Connection->setTimeout(internal::toPoco(Timeout));
+    Poco::Net::HTTPRequest Head(Request.Method, Request.Target,
+                                Poco::Net::HTTPMessage::HTTP_1_1);
+    for (const HeaderField &Field : Request.Headers)
+      Head.add(Field.Name, Field.Value);
+    Head.setHost(Address, Port);
+    Head.setKeepAlive(true);
+    Head.setContentLength64(static_cast<Poco::Int64>(Request.Body.size()));
+    Connection->sendRequest(Head) << Request.Body << std::flush;
+    Result.Detail = internal::receive(Connection.get(), Request.Method,
+                                      Deadline, &Result.Reply, &KeepAlive);
+  } catch (const Poco::TimeoutException &) {
+    Result.TimedOut = true;
+    Result.Detail = "no answer in time";
+  } catch (const Poco::Exception &Error) {
+    Result.Detail = Error.displayText();
+  }
+  Result.TimedOut |= !Result.Detail.empty() && monoNow() >= Deadline;
+  if (Result.Detail.empty()) {
+    Result.Ended = internal::End::Answered;
+    if (KeepAlive)
+      this->keepIdle(Place, std::move(Connection));
+  } else if (Result.TimedOut) {
+    this->closeIdle(Place);
+  }
+  return Result;
+}
+
+bool HttpPool::canConnect(const std::string &Address, std::uint16_t Port,
+                          Millis Timeout) {
+  try {
+    Poco::Net::StreamSocket Socket;
+    Socket.connect(Poco::Net::SocketAddress(Address, Port),
+                   internal::toPoco(Timeout));
+    return true;
+  } catch (const Poco::Exception &) {
+    return false;
+  }
+}
+
+std::unique_ptr<Poco::Net::HTTPClientSession>
+HttpPool::takeIdle(const std::string &Place) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  std::vector<IdleSession> &Kept = this->Idle[Place];
+  while (!Kept.empty()) {
+    IdleSession Newest = std::move(Kept.back());
+    Kept.pop_back();
+    const bool Fresh = monoNow() - Newest.Since < internal::kMaxIdle;
+    // An idle connection that can be read was closed by the other side.
+    const bool Open = !Newest.Connection->socket().poll(
+        Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+    if (Fresh && Open)
+      return std::move(Newest.Connection);
+  }
+  return nullptr;
+}
+
+void HttpPool::keepIdle(const std::string &Place,
+                        std::unique_ptr<Session> Connection) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  std::vector<IdleSession> &Kept = this->Idle[Place];
+  if (Kept.size() < internal::kMaxIdlePerPlace)
+    Kept.push_back(IdleSession{std::move(Connection), monoNow()});
+}
+
+void HttpPool::closeIdle(const std::string &Place) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->Idle.erase(Place);
+}
+
+} // namespace persimmonquay
--- /dev/null
+++ b/persimmonquay/node/ingress.cc
@@ -0,0 +1,299 @@
+#include "persimmonquay/node/ingress.h"
+
+#include "persimmonquay/base/hashing.h"
+#include "persimmonquay/base/logging.h"
+#include "persimmonquay/node/http_pool.h"
+#include "persimmonquay/node/move_driver.h"
+#include "persimmonquay/node/routing_view.h"
+#include "persimmonquay/peer/cluster.h"
+#include <absl/strings/str_cat.h>
+#include <utility>
+
+namespace persimmonquay {
+namespace internal {
+
+constexpr std::size_t kDefaultQueueLimit = 64;
+constexpr Millis kProbeTimeout{200};
+constexpr Millis kBlameLifetime = std::chrono::hours(1);
+constexpr int kServerError = 500;
+constexpr std::uint32_t kMaxSlots = 10000;
+
+/// Gives the slot back at the end of a scope.
+struct SlotReleaser {
+  AdmissionGate *Gate;
+  ~SlotReleaser() { this->Gate->release(); }
+};
+
+absl::Status check(const Announcement &Heard) {
+  if (Heard.Service.empty() || Heard.Version.empty())
+    return absl::InvalidArgumentError(
+        "the announcement lacks \"service\" or \"version\"");
+  if (Heard.Address.empty() || Heard.Port == 0)
+    return absl::InvalidArgumentError(
+        "the announcement lacks \"address\" or \"port\"");
+  if (Heard.Slots == 0 || Heard.Slots > kMaxSlots)
+    return absl::InvalidArgumentError(absl::StrCat(
+        "\"slots\" is ", Heard.Slots, ", not between 1 and ", kMaxSlots));
+  return absl::OkStatus();
+}
+
+bool saysNotRun(const CallReply &Reply) {
+  return Reply.Status >= kServerError &&
+         findHeader(Reply.Headers, kOutcomeHeader) ==
+             outcomeName(Outcome::NotRun);
+}
+
+} // namespace internal
+
+Ingress::Ingress(Cluster *Group, const RoutingViewHolder *Views, HttpPool *Pool,
+                 MoveDriver *Moves, Millis AnnouncementLease)
+    : Group(Group), Views(Views), Pool(Pool), Moves(Moves),
+      Lease(AnnouncementLease), Gate(0, 0) {}
+
+std::shared_ptr<const Ingress::Upstream> Ingress::known() const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  return this->Current;
+}
+
+absl::Status Ingress::announce(const Announcement &Heard) {
+  const absl::Status Valid = internal::check(Heard);
+  if (!Valid.ok())
+    return Valid;
+  const auto Before = this->known();
+  if (Before != nullptr && Before->Last.Boot != Heard.Boot)
+    this->upstreamDied(Before->Last.Boot);
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  auto Next = std::make_shared<Upstream>();
+  Next->Last = Heard;
+  Next->HeardAt = monoNow();
+  const bool SameRun =
+      this->Current != nullptr && this->Current->Last.Boot == Heard.Boot;
+  Next->AnnouncedAt = SameRun ? this->Current->AnnouncedAt : wallNow();
+  const bool Changed = !SameRun ||
+                       this->Current->Last.Draining != Heard.Draining ||
+                       this->Current->Last.Slots != Heard.Slots ||
+                       this->Current->Last.Version != Heard.Version ||
+                       this->Current->Last.Service != Heard.Service;
+  this->Current = std::move(Next);
+  if (!Changed)
+    return absl::OkStatus();
+  this->Gate.resize(Heard.Slots, internal::kDefaultQueueLimit);
+  this->Gate.setDraining(Heard.Draining || this->NodeDraining);
+  this->tellPeersLocked();
+  logLine(LogLevel::Info, "upstream announced",
+          {{"service", Heard.Service},
+           {"version", Heard.Version},
+           {"draining", Heard.Draining ? "true" : "false"}});
+  return absl::OkStatus();
+}
+
+void Ingress::tellPeersLocked() {
+  proto::Member Facts;
+  if (this->Current != nullptr) {
+    Facts.set_service(this->Current->Last.Service);
+    Facts.set_version(this->Current->Last.Version);
+    Facts.set_slots(this->Current->Last.Slots);
+    Facts.set_announced_unix_ms(unixMillis(this->Current->AnnouncedAt));
+    Facts.set_draining(this->Current->Last.Draining || this->NodeDraining);
+  }
+  this->Group->updateSelf(Facts);
+}
+
+void Ingress::checkLease(MonoTime Now) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  if (this->Current == nullptr || Now - this->Current->HeardAt < this->Lease)
+    return;
+  logLine(LogLevel::Warning, "upstream has stopped announcing itself",
+          {{"service", this->Current->Last.Service}});
+  this->Current.reset();
+  this->tellPeersLocked();
+}
+
+void Ingress::drain() {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->NodeDraining = true;
+  this->Gate.setDraining(true);
+  this->tellPeersLocked();
+}
+
+bool Ingress::waitUntilIdle(Millis Timeout) const {
+  return this->Gate.waitUntilIdle(Timeout);
+}
+
+std::uint32_t Ingress::load() const {
+  return static_cast<std::uint32_t>(this->Gate.running() +
+                                    this->Gate.waiting());
+}
+
+IngressReply Ingress::refuse(const std::string &Detail) const {
+  IngressReply Reply;
+  Reply.End = TryEnd::RefusedByNode;
+  Reply.Detail = Detail;
+  Reply.Load = this->load();
+  return Reply;
+}
+
+std::unique_ptr<IngressReply> Ingress::refusal(const IngressCall &Call,
+                                               const Upstream &Known) const {
+  const auto Refuse = [&](const std::string &Detail) {
+    return std::make_unique<IngressReply>(this->refuse(Detail));
+  };
+  if (Known.Last.Service != Call.Service)
+    return Refuse(absl::StrCat("this node's upstream serves \"",
+                               Known.Last.Service, "\", not \"", Call.Service,
+                               "\""));
+  const MoveView *Move = this->Views->current()->moveOf(Call.Service);
+  if (Move != nullptr && Move->Progress.TakenBack &&
+      Move->Move->to_version() == Known.Last.Version)
+    return Refuse(
+        absl::StrCat("version \"", Known.Last.Version, "\" was taken back"));
+  return nullptr;
+}
+
+IngressReply Ingress::run(const IngressCall &Call) {
+  const auto Known = this->known();
+  if (Known == nullptr)
+    return this->refuse("no upstream has announced itself");
+  if (auto Refused = this->refusal(Call, *Known))
+    return *Refused;
+  const MonoTime Deadline = monoNow() + Call.Remaining;
+  std::string Detail;
+  if (!this->startUnderBlame(Call, Deadline, &Detail))
+    return this->refuse(Detail);
+  const AdmissionResult Admission =
+      this->Gate.acquire(AdmissionRequest{Call.Priority, Deadline});
+  IngressReply Reply;
+  switch (Admission) {
+  case AdmissionResult::Admitted: {
+    const internal::SlotReleaser Releaser{&this->Gate};
+    // The version may have been taken back while the call waited.
+    auto Refused = this->refusal(Call, *Known);
+    Reply = Refused != nullptr ? *Refused : this->runAdmitted(Call, *Known);
+    break;
+  }
+  case AdmissionResult::Shed:
+    Reply = this->refuse("the queue is full of more important calls");
+    break;
+  case AdmissionResult::TooLate:
+    Reply = this->refuse("no slot came free before the deadline");
+    break;
+  case AdmissionResult::Draining:
+    Reply = this->refuse("the upstream is draining");
+    break;
+  }
+  this->Blame.end(Call.Fingerprint);
+  return Reply;
+}
+
+bool Ingress::startUnderBlame(const IngressCall &Call, MonoTime Deadline,
+                              std::string *Detail) {
+  const std::string Key = hashToHex(Call.Fingerprint);
+  while (true) {
+    const std::uint64_t Deaths =
+        this->Group->factLevel(proto::REQUEST_BLAME, Key);
+    switch (this->Blame.start(Call.Fingerprint, Deaths)) {
+    case CrashBlame::Start::Run:
+      return true;
+    case CrashBlame::Start::Refuse:
+      *Detail = absl::StrCat("this request has ended ", Deaths,
+                             " upstreams and is not run again");
+      return false;
+    case CrashBlame::Start::Wait:
+      if (monoNow() >= Deadline) {
+        *Detail = "no turn came free for a request under suspicion";
+        return false;
+      }
+      this->Blame.waitForChange(Deadline);
+    }
+  }
+}
+
+IngressReply Ingress::runAdmitted(const IngressCall &Call,
+                                  const Upstream &Known) {
+  const MonoTime StartedAt = monoNow();
+  CallRequest Forwarded = Call.Request;
+  Forwarded.Headers = endToEndHeaders(Call.Request.Headers);
+  Forwarded.Headers.push_back(
+      HeaderField{kDeadlineHeader, absl::StrCat(Call.Remaining.count())});
+  ExchangeResult Result = this->Pool->exchange(
+      Known.Last.Address, Known.Last.Port, Forwarded, Call.Remaining);
+  IngressReply Reply;
+  Reply.Load = this->load();
+  Reply.Detail = Result.Detail;
+  switch (Result.Ended) {
+  case ExchangeResult::End::NothingSent:
+    Reply.End = TryEnd::NothingSent;
+    this->upstreamDied(Known.Last.Boot);
+    return Reply;
+  case ExchangeResult::End::Answered: {
+    const bool Refused = internal::saysNotRun(Result.Reply);
+    Reply.End = Refused ? TryEnd::RefusedByUpstream : TryEnd::Answered;
+    this->countEvidence(
+        Call, Known, Result.Reply.Status >= internal::kServerError, StartedAt);
+    Reply.Reply = std::move(Result.Reply);
+    return Reply;
+  }
+  case ExchangeResult::End::AnswerLost:
+    break;
+  }
+  Reply.End = TryEnd::AnswerLost;
+  const bool Died = !Result.TimedOut &&
+                    !HttpPool::canConnect(Known.Last.Address, Known.Last.Port,
+                                          internal::kProbeTimeout);
+  // One death is one failure, however many calls ran; the first one counts it.
+  const auto Now = this->known();
+  const bool AlreadyReported =
+      Now == nullptr || Now->Last.Boot != Known.Last.Boot;
+  if (!Died || !AlreadyReported)
+    this->countEvidence(Call, Known, true, StartedAt);
+  if (Died)
+    this->upstreamDied(Known.Last.Boot);
+  return Reply;
+}
+
+void Ingress::upstreamDied(const std::string &Boot) {
+  {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    if (this->Current == nullptr || this->Current->Last.Boot != Boot)
+      return;
+    logLine(LogLevel::Warning, "upstream died",
+            {{"service", this->Current->Last.Service},
+             {"version", this->Current->Last.Version}});
+    this->Current.reset();
+    this->tellPeersLocked();
+  }
+  for (std::uint64_t Fingerprint : this->Blame.upstreamDied()) {
+    const std::string Key = hashToHex(Fingerprint);
+    proto::Fact Fact;
+    Fact.set_kind(proto::REQUEST_BLAME);
+    Fact.set_key(Key);
+    Fact.set_level(this->Group->factLevel(proto::REQUEST_BLAME, Key) + 1);
+    Fact.set_expires_unix_ms(unixMillis(wallNow() + internal::kBlameLifetime));
+    logLine(LogLevel::Warning, "request blamed for the death of an upstream",
+            {{"fingerprint", Key}, {"deaths", absl::StrCat(Fact.level())}});
+    this->Group->raiseFact(Fact);
+  }
+}
+
+void Ingress::countEvidence(const IngressCall &Call, const Upstream &Known,
+                            bool Failed, MonoTime StartedAt) {
+  const auto View = this->Views->current();
+  const MoveView *Move = View->moveOf(Call.Service);
+  if (Move == nullptr)
+    return;
+  CallResult Result;
+  Result.Route = Call.Route;
+  Result.ToNewVersion = Known.Last.Version == Move->Move->to_version();
+  if (!Result.ToNewVersion && Known.Last.Version != Move->Move->from_version())
+    return;
+  Result.Failed = Failed;
+  Result.Latency = std::chrono::duration_cast<std::chrono::microseconds>(
+      monoNow() - StartedAt);
+  const auto *Target = View->Config->findRoute(pathOf(Call.Request));
+  const Millis ColdStart(Target == nullptr ? 0
+                                           : Target->Service.cold_start_ms());
+  Result.LatencyCounts = wallNow() - Known.AnnouncedAt >= ColdStart;
+  this->Moves->count(Move->Move->name(), Result);
+}
+
+} // namespace persimmonquay
--- /dev/null
+++ b/persimmonquay/node/log_follower.cc
@@ -0,0 +1,199 @@
+#include "persimmonquay/node/log_follower.h"
+
+#include "persimmonquay/base/logging.h"
+#include "persimmonquay/config/config_store.h"
+#include "persimmonquay/node/trace_recorder.h"
+#include "persimmonquay/peer/cluster.h"
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <utility>
+
+namespace persimmonquay {
+namespace internal {
+
+constexpr char kReaderDuty[] = "log-reader";
+constexpr char kSnapshotDuty[] = "snapshot-writer";
+constexpr std::size_t kReaders = 2;
+constexpr Millis kLongPoll{2000};
+constexpr Millis kLogTimeout{2000};
+constexpr Millis kIdlePause{200};
+constexpr Millis kErrorPause{500};
+/// Time in which peers may make themselves known before a starting node reads
+/// the log itself.
+constexpr Millis kJoinTime{300};
+/// Snapshots are written anew after this time, well inside the retention.
+constexpr Millis kSnapshotInterval = std::chrono::minutes(10);
+
+} // namespace internal
+
+LogFollower::LogFollower(HttpLogClient *Log, ConfigStore *Store, Cluster *Group,
+                         std::uint64_t SnapshotEvery, TraceRecorder *Trace)
+    : Log(Log), Store(Store), Group(Group), SnapshotEvery(SnapshotEvery),
+      Trace(Trace) {}
+
+LogFollower::~LogFollower() { this->stop(); }
+
+void LogFollower::start() {
+  this->Worker = std::thread([this] { this->run(); });
+}
+
+void LogFollower::stop() {
+  this->Stopping = true;
+  this->StopWanted.notify_all();
+  if (this->Worker.joinable())
+    this->Worker.join();
+}
+
+void LogFollower::pause(Millis Time) {
+  std::unique_lock<std::mutex> Lock(this->PauseMutex);
+  this->StopWanted.wait_for(Lock, Time,
+                            [this] { return this->Stopping.load(); });
+}
+
+bool LogFollower::hasDuty() const {
+  return this->Group->hasDuty(internal::kReaderDuty, internal::kReaders);
+}
+
+void LogFollower::run() {
+  this->pause(internal::kJoinTime);
+  while (!this->Stopping) {
+    if (!this->hasDuty()) {
+      this->pause(internal::kIdlePause);
+      continue;
+    }
+    const absl::Status Read = this->readOnce(internal::kLongPoll);
+    if (!Read.ok()) {
+      logLine(LogLevel::Warning, "the log could not be read",
+              {{"error", std::string(Read.message())}});
+      this->pause(internal::kErrorPause);
+      continue;
+    }
+    this->writeSnapshotIfDue(monoNow());
+  }
+}
+
+absl::Status LogFollower::readOnce(Millis Wait) {
+  if (this->Store->nextOffset() == 0 && !this->SnapshotTried) {
+    const absl::Status Loaded = this->loadSnapshot();
+    if (!Loaded.ok())
+      return Loaded;
+    this->SnapshotTried = true;
+  }
+  const std::uint64_t From = this->Store->nextOffset();
+  auto Chunk =
+      this->Log->read(kConfigStream, From, Wait, internal::kLogTimeout);
+  this->Reachable = Chunk.ok() || absl::IsOutOfRange(Chunk.status());
+  if (absl::IsOutOfRange(Chunk.status())) {
+    const absl::Status Loaded = this->loadSnapshot();
+    if (!Loaded.ok())
+      return Loaded;
+    if (this->Store->nextOffset() <= From)
+      return absl::DataLossError(
+          absl::StrCat("records from ", From,
+                       " on have expired and no snapshot or peer "
+                       "has what they contained"));
+    return absl::OkStatus();
+  }
+  if (!Chunk.ok())
+    return Chunk.status();
+  std::uint64_t Offset = Chunk->FirstOffset;
+  for (const std::string &Payload : Chunk->Records) {
+    const absl::Status Applied = this->Store->applyRecord(Offset, Payload);
+    if (absl::IsOutOfRange(Applied))
+      return Applied;
+    ++Offset;
+  }
+  return absl::OkStatus();
+}
+
+absl::Status LogFollower::loadSnapshot() {
+  auto Bounds = this->Log->bounds(kSnapshotStream, internal::kLogTimeout);
+  this->Reachable = Bounds.ok();
+  if (!Bounds.ok())
+    return Bounds.status();
+  if (Bounds->EndOffset == Bounds->OldestOffset)
+    return absl::OkStatus();
+  auto Chunk = this->Log->read(kSnapshotStream, Bounds->EndOffset - 1,
+                               Millis(0), internal::kLogTimeout);
+  if (!Chunk.ok())
+    return Chunk.status();
+  for (const std::string &Payload : Chunk->Records) {
+    proto::SnapshotRecord Record;
+    proto::ConfigurationState State;
+    if (!Record.ParseFromString(Payload) ||
+        !State.ParseFromString(Record.state()))
+      return absl::DataLossError("the newest snapshot can't be decoded");
+    const absl::Status Adopted = this->Store->adoptState(State);
+    if (!Adopted.ok())
+      return Adopted;
+    this->LastSnapshotOffset =
+        std::max(this->LastSnapshotOffset, Record.next_offset());
+  }
+  return absl::OkStatus();
+}
+
+void LogFollower::writeSnapshotIfDue(MonoTime Now) {
+  const proto::ConfigurationState State = this->Store->state();
+  if (State.next_offset() == 0)
+    return;
+  const bool Grown =
+      State.next_offset() >= this->LastSnapshotOffset + this->SnapshotEvery;
+  const bool Old = this->LastSnapshotAt != MonoTime() &&
+                   Now - this->LastSnapshotAt > internal::kSnapshotInterval;
+  if (this->LastSnapshotAt == MonoTime())
+    this->LastSnapshotAt = Now;
+  if ((!Grown && !Old) || !this->Group->hasDuty(internal::kSnapshotDuty, 1))
+    return;
+  // Another data centre's writer may have been faster.
+  if (!Old && this->loadSnapshot().ok() &&
+      State.next_offset() < this->LastSnapshotOffset + this->SnapshotEvery)
+    return;
+  proto::SnapshotRecord Record;
+  Record.set_next_offset(State.next_offset());
+  Record.set_state(encodeState(State));
+  const auto Offset = this->Log->append(
+      kSnapshotStream, Record.SerializeAsString(), internal::kLogTimeout);
+  if (!Offset.ok())
+    return;
+  this->LastSnapshotOffset = State.next_offset();
+  this->LastSnapshotAt = Now;
+  logLine(LogLevel::Info, "snapshot written",
+          {{"next_offset", absl::StrCat(State.next_offset())}});
+}
+
+absl::StatusOr<proto::AuditEntry>
+LogFollower::publish(const proto::Change &Change, Millis Timeout) {
+  proto::LogRecord Record;
+  *Record.mutable_change() = Change;
+  const MonoTime Deadline = monoNow() + Timeout;
+  const auto Offset =
+      this->Log->append(kConfigStream, Record.SerializeAsString(),
+                        std::min(Timeout, internal::kLogTimeout));
+  if (absl::IsResourceExhausted(Offset.status()))
+    return absl::UnavailableError(absl::StrCat(
+        "not published: ", std::string(Offset.status().message())));
+  // With or without an answer, the verdict is what the stream says.
+  const auto Left = std::chrono::duration_cast<Millis>(Deadline - monoNow());
+  const auto Verdict =
+      this->Store->waitForVerdict(Change.id(), std::max(Left, Millis(0)));
+  if (Verdict)
+    return *Verdict;
+  if (!Offset.ok())
+    return absl::UnavailableError(absl::StrCat(
+        "it is not known whether change \"", Change.id(),
+        "\" was published; ask for the audit trail before sending it again: ",
+        std::string(Offset.status().message())));
+  return absl::DeadlineExceededError(
+      absl::StrCat("change \"", Change.id(), "\" is on the log at offset ",
+                   *Offset, ", but this node has not read it yet"));
+}
+
+absl::Status LogFollower::appendOutcome(const proto::MoveOutcome &Outcome) {
+  proto::LogRecord Record;
+  *Record.mutable_outcome() = Outcome;
+  return this->Log
+      ->append(kConfigStream, Record.SerializeAsString(), internal::kLogTimeout)
+      .status();
+}
+
+} // namespace persimmonquay
--- /dev/null
+++ b/persimmonquay/node/node.cc
@@ -0,0 +1,272 @@
+#include "persimmonquay/node/node.h"
+
+#include "persimmonquay/base/logging.h"
+#include "persimmonquay/config/config_store.h"
+#include "persimmonquay/node/claim_desk.h"
+#include "persimmonquay/node/egress.h"
+#include "persimmonquay/node/http_pool.h"
+#include "persimmonquay/node/http_server.h"
+#include "persimmonquay/node/ingress.h"
+#include "persimmonquay/node/ingress_api.h"
+#include "persimmonquay/node/local_api.h"
+#include "persimmonquay/node/log_follower.h"
+#include "persimmonquay/node/move_driver.h"
+#include "persimmonquay/node/operator_server.h"
+#include "persimmonquay/node/routing_view.h"
+#include "persimmonquay/node/trace_recorder.h"
+#include "persimmonquay/peer/address_book.h"
+#include "persimmonquay/peer/cluster.h"
+#include "proto/settings.pb.h"
+#include <absl/strings/str_cat.h>
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <random>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace persimmonquay {
+namespace internal {
+
+constexpr Millis kDecisionInterval{100};
+constexpr Millis kFlushInterval{10};
+/// Time for the news of draining to reach the nodes that choose upstreams.
+constexpr Millis kDrainSpread{1000};
+constexpr std::size_t kLocalThreads = 8;
+
+} // namespace internal
+
+/// Owns the parts in the order of their dependence.
+class Node::Implementation {
+public:
+  explicit Implementation(const proto::NodeSettings &Settings);
+
+  absl::Status start();
+  void stop(Millis Timeout);
+
+private:
+  void watchStore();
+  absl::Status startServers();
+  void runEvery(Millis Interval, const std::function<void()> &Work);
+  void wakeViews();
+  void viewLoop();
+  CallReply serveCaller(const CallRequest &Request);
+
+  const proto::NodeSettings Settings;
+  TraceRecorder Trace;
+  const AddressBook Book;
+  HttpLogClient Log;
+  ConfigStore Store;
+  RoutingViewHolder Views;
+  HttpPool Pool;
+  Cluster Group;
+  LogFollower Follower;
+  MoveDriver Moves;
+  Ingress Inner;
+  ClaimDesk Claims;
+  Egress Outer;
+  IngressApi InnerApi;
+  LocalApi Local;
+  OperatorServer Operators;
+  HttpServer CallerPort;
+  HttpServer IngressPort;
+  HttpServer LocalPort;
+
+  std::mutex StopMutex;
+  std::condition_variable StopWanted;
+  bool Stopping = false;
+  bool ViewStale = false;
+  std::condition_variable ViewWanted;
+  std::vector<std::thread> Threads;
+};
+
+Node::Implementation::Implementation(const proto::NodeSettings &Settings)
+    : Settings(Settings), Trace(Settings.trace_file()), Book(Settings),
+      Log(Settings.log_url()), Views(&this->Store),
+      Group(Settings, &this->Store,
+            ClusterEvents{[this] { this->wakeViews(); },
+                          [this] { this->wakeViews(); },
+                          [this](const proto::EvidenceCell &Cell) {
+                            this->Moves.merge(Cell);
+                          }}),
+      Follower(&this->Log, &this->Store, &this->Group,
+               Settings.snapshot_every_records(), &this->Trace),
+      Moves(
+          Settings.node(), std::uint64_t{std::random_device{}()}, &this->Group,
+          &this->Views,
+          [this](const proto::MoveOutcome &Outcome) {
+            const absl::Status Written = this->Follower.appendOutcome(Outcome);
+            if (!Written.ok())
+              logLine(LogLevel::Warning, "move outcome not yet on the log",
+                      {{"move", Outcome.move()},
+                       {"error", std::string(Written.message())}});
+          },
+          &this->Trace),
+      Inner(&this->Group, &this->Views, &this->Pool, &this->Moves,
+            Millis(Settings.announcement_lease_ms())),
+      Claims(&this->Log, Settings.node(),
+             std::chrono::seconds(Settings.key_lifetime_s())),
+      Outer(Egress::Parts{&this->Views, &this->Book, &this->Pool, &this->Inner,
+                          &this->Claims, Settings.node(),
+                          Settings.data_centre()}),
+      InnerApi(&this->Inner),
+      Local(&this->Inner, &this->Store, &this->Group, &this->Outer),
+      Operators(OperatorServer::Parts{&this->Group, &this->Store,
+                                      &this->Follower, &this->Moves,
+                                      &this->Inner, &this->Views}) {
+  this->watchStore();
+}
+
+void Node::Implementation::watchStore() {
+  this->Store.setObservers(
+      [this](const proto::ConfigurationState &State) {
+        setLoggedConfigVersion(State.version());
+        logLine(LogLevel::Info, "configuration applied",
+                {{"version", absl::StrCat(State.version())},
+                 {"next_offset", absl::StrCat(State.next_offset())}});
+        this->Group.announceConfig();
+        this->wakeViews();
+      },
+      [this](std::uint64_t Offset, const std::string &Payload) {
+        proto::StreamRecord Record;
+        Record.set_offset(Offset);
+        Record.set_payload(Payload);
+        this->Trace.record("config-record", Record, wallNow());
+      });
+}
+
+absl::Status Node::Implementation::start() {
+  this->Views.rebuild(this->Group);
+  absl::Status Status = this->Group.start();
+  if (Status.ok())
+    Status = this->startServers();
+  if (!Status.ok())
+    return Status;
+  this->Follower.start();
+  this->Threads.emplace_back([this] { this->viewLoop(); });
+  this->Threads.emplace_back([this] {
+    this->runEvery(internal::kDecisionInterval, [this] {
+      this->Moves.tick(wallNow());
+      this->Inner.checkLease(monoNow());
+    });
+  });
+  this->Threads.emplace_back([this] {
+    this->runEvery(internal::kFlushInterval,
+                   [this] { this->Claims.flush(wallNow()); });
+  });
+  logLine(LogLevel::Info, "node started",
+          {{"address", this->Settings.address()},
+           {"caller_port", absl::StrCat(this->Settings.caller_port())}});
+  return absl::OkStatus();
+}
+
+absl::Status Node::Implementation::startServers() {
+  const std::string &Address = this->Settings.address();
+  HttpLimits Limits;
+  Limits.MaxThreads = this->Settings.caller_threads();
+  Limits.MaxBodyBytes = this->Settings.max_body_bytes();
+  const auto Port = [](std::uint32_t Value) {
+    return static_cast<std::uint16_t>(Value);
+  };
+  absl::Status Status =
+      this->IngressPort.start(Address, Port(this->Settings.ingress_port()),
+                              Limits, [this](const CallRequest &Request) {
+                                return this->InnerApi.serve(Request);
+                              });
+  if (Status.ok())
+    Status = this->CallerPort.start(Address, Port(this->Settings.caller_port()),
+                                    Limits, [this](const CallRequest &Request) {
+                                      return this->serveCaller(Request);
+                                    });
+  if (Status.ok())
+    Status =
+        this->Operators.start(Address, Port(this->Settings.operator_port()));
+  Limits.MaxThreads = internal::kLocalThreads;
+  if (Status.ok())
+    Status = this->LocalPort.start(Address, Port(this->Settings.local_port()),
+                                   Limits, [this](const CallRequest &Request) {
+                                     return this->Local.serve(Request);
+                                   });
+  return Status;
+}
+
+CallReply Node::Implementation::serveCaller(const CallRequest &Request) {
+  EgressReply Reply = this->Outer.serve(Request);
+  CallReply Result = std::move(Reply.Reply);
+  Result.Headers = endToEndHeaders(Result.Headers);
+  Result.Headers.push_back(
+      HeaderField{kOutcomeHeader, std::string(outcomeName(Reply.Result))});
+  return Result;
+}
+
+void Node::Implementation::runEvery(Millis Interval,
+                                    const std::function<void()> &Work) {
+  std::unique_lock<std::mutex> Lock(this->StopMutex);
+  while (!this->Stopping) {
+    Lock.unlock();
+    Work();
+    Lock.lock();
+    this->StopWanted.wait_for(Lock, Interval,
+                              [this] { return this->Stopping; });
+  }
+}
+
+void Node::Implementation::wakeViews() {
+  std::lock_guard<std::mutex> Lock(this->StopMutex);
+  this->ViewStale = true;
+  this->ViewWanted.notify_one();
+}
+
+void Node::Implementation::viewLoop() {
+  std::unique_lock<std::mutex> Lock(this->StopMutex);
+  while (!this->Stopping) {
+    this->ViewWanted.wait(Lock,
+                          [this] { return this->Stopping || this->ViewStale; });
+    this->ViewStale = false;
+    Lock.unlock();
+    this->Views.rebuild(this->Group);
+    Lock.lock();
+  }
+}
+
+void Node::Implementation::stop(Millis Timeout) {
+  logLine(LogLevel::Info, "stopping", {});
+  const MonoTime Deadline = monoNow() + Timeout;
+  const auto Left = [Deadline] {
+    return std::max(Millis(0),
+                    std::chrono::duration_cast<Millis>(Deadline - monoNow()));
+  };
+  this->Inner.drain();
+  this->CallerPort.closeAfterAnswers();
+  std::this_thread::sleep_for(std::min(internal::kDrainSpread, Left()));
+  this->CallerPort.stop(Left());
+  this->Inner.waitUntilIdle(Left());
+  this->IngressPort.stop(Left());
+  this->Claims.flush(wallNow());
+  this->Operators.stop();
+  this->LocalPort.stop(Left());
+  this->Follower.stop();
+  this->Group.stop();
+  {
+    std::lock_guard<std::mutex> Lock(this->StopMutex);
+    this->Stopping = true;
+    this->StopWanted.notify_all();
+    this->ViewWanted.notify_all();
+  }
+  for (std::thread &Thread : this->Threads)
+    Thread.join();
+  this->Threads.clear();
+  logLine(LogLevel::Info, "stopped", {});
+}
+
+Node::Node(const proto::NodeSettings &Settings)
+    : Impl(std::make_unique<Implementation>(Settings)) {}
+
+Node::~Node() = default;
+
+absl::Status Node::start() { return this->Impl->start(); }
+
+void Node::stop(Millis Timeout) { this->Impl->stop(Timeout); }
+
+} // namespace persimmonquay
--- /dev/null
+++ b/persimmonquay/node/routing_view.cc
@@ -0,0 +1,68 @@
+#include "persimmonquay/node/routing_view.h"
+
+#include "persimmonquay/config/config_store.h"
+#include "persimmonquay/peer/cluster.h"
+#include <absl/strings/numbers.h>
+#include <utility>
+#include <vector>
+
+namespace persimmonquay {
+namespace internal {
+
+MoveProgress progressOf(const proto::Move &Move,
+                        const std::vector<proto::Fact> &Facts) {
+  MoveProgress Progress;
+  Progress.StepEnteredAt = wallTimeFromUnixMillis(Move.start_unix_ms());
+  for (const proto::Fact &Fact : Facts) {
+    if (Fact.key() != Move.name())
+      continue;
+    if (Fact.kind() == proto::MOVE_TAKEN_BACK)
+      Progress.TakenBack = true;
+    if (Fact.kind() == proto::MOVE_RETREAT)
+      Progress.RetreatUntil =
+          wallTimeFromUnixMillis(static_cast<std::int64_t>(Fact.level()));
+    std::int64_t EnteredUnixMs = 0;
+    if (Fact.kind() == proto::MOVE_STEP &&
+        absl::SimpleAtoi(Fact.detail(), &EnteredUnixMs)) {
+      Progress.Step = Fact.level();
+      Progress.StepEnteredAt = wallTimeFromUnixMillis(EnteredUnixMs);
+    }
+  }
+  return Progress;
+}
+
+} // namespace internal
+
+const MoveView *RoutingView::moveOf(const std::string &Service) const {
+  const auto Found = this->MoveOfService.find(Service);
+  return Found == this->MoveOfService.end() ? nullptr : &Found->second;
+}
+
+RoutingViewHolder::RoutingViewHolder(const ConfigStore *Store)
+    : Store(Store),
+      View(std::make_unique<const std::shared_ptr<const RoutingView>>(
+          std::make_shared<const RoutingView>())) {}
+
+void RoutingViewHolder::rebuild(const Cluster &Group) {
+  std::lock_guard<std::mutex> Lock(this->RebuildMutex);
+  auto Next = std::make_shared<RoutingView>();
+  Next->Config = this->Store->serving();
+  Next->Endpoints =
+      EndpointTable::build(Group.members(), this->current()->Endpoints.get());
+  const std::vector<proto::Fact> Facts = Group.facts();
+  if (Next->Config != nullptr)
+    for (const auto &Move : Next->Config->moves())
+      Next->MoveOfService.emplace(
+          Move->service(), MoveView{Move, MovePolicy::Builder(*Move).build(),
+                                    internal::progressOf(*Move, Facts)});
+  this->View.replace(std::make_unique<const std::shared_ptr<const RoutingView>>(
+      std::move(Next)));
+}
+
+std::shared_ptr<const RoutingView> RoutingViewHolder::current() const {
+  return this->View.read([](const std::shared_ptr<const RoutingView> &Current) {
+    return Current;
+  });
+}
+
+} // namespace persimmonquay
--- /dev/null
+++ b/persimmonquay/node/settings.cc
@@ -0,0 +1,156 @@
+#include "persimmonquay/node/settings.h"
+
+#include "persimmonquay/base/checked_json.h"
+#include "persimmonquay/base/logging.h"
+#include "proto/settings.pb.h"
+#include <Poco/Exception.h>
+#include <Poco/Net/IPAddress.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/URI.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <map>
+#include <vector>
+
+namespace persimmonquay {
+namespace internal {
+
+constexpr std::uint32_t kDefaultProbeIntervalMs = 1000;
+constexpr std::uint32_t kDefaultSuspicionMs = 3000;
+constexpr std::uint32_t kDefaultAnnouncementLeaseMs = 3000;
+constexpr std::uint32_t kDefaultMaxBodyBytes = 1 << 20;
+constexpr std::uint32_t kDefaultSnapshotEveryRecords = 200;
+constexpr std::uint32_t kDefaultKeyLifetimeS = 24 * 3600;
+constexpr std::uint32_t kDefaultCallerThreads = 128;
+constexpr std::uint32_t kMaxPort = 65535;
+constexpr std::uint32_t kMinIntervalMs = 50;
+
+void fillDefaults(proto::NodeSettings *Settings) {
+  if (Settings->probe_interval_ms() == 0)
+    Settings->set_probe_interval_ms(kDefaultProbeIntervalMs);
+  if (Settings->suspicion_ms() == 0)
+    Settings->set_suspicion_ms(kDefaultSuspicionMs);
+  if (Settings->announcement_lease_ms() == 0)
+    Settings->set_announcement_lease_ms(kDefaultAnnouncementLeaseMs);
+  if (Settings->max_body_bytes() == 0)
+    Settings->set_max_body_bytes(kDefaultMaxBodyBytes);
+  if (Settings->snapshot_every_records() == 0)
+    Settings->set_snapshot_every_records(kDefaultSnapshotEveryRecords);
+  if (Settings->key_lifetime_s() == 0)
+    Settings->set_key_lifetime_s(kDefaultKeyLifetimeS);
+  if (Settings->caller_threads() == 0)
+    Settings->set_caller_threads(kDefaultCallerThreads);
+  if (Settings->log_level().empty())
+    Settings->set_log_level("info");
+}
+
+/// Collects problems, one line each.
+class Problems {
+public:
+  explicit Problems(std::string_view FileName) : FileName(FileName) {}
+
+  void require(bool Holds, const std::string &Problem) {
+    if (!Holds)
+      this->Lines.push_back(absl::StrCat(this->FileName, ": ", Problem));
+  }
+
+  absl::Status status() const {
+    return this->Lines.empty()
+               ? absl::OkStatus()
+               : absl::InvalidArgumentError(absl::StrJoin(this->Lines, "\n"));
+  }
+
+private:
+  std::string FileName;
+  std::vector<std::string> Lines;
+};
+
+bool isIpNumber(const std::string &Text) {
+  Poco::Net::IPAddress Parsed;
+  return Poco::Net::IPAddress::tryParse(Text, Parsed);
+}
+
+bool isIpAndPort(const std::string &Text) {
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string::npos || !isIpNumber(Text.substr(0, Colon)))
+    return false;
+  try {
+    return Poco::Net::SocketAddress(Text).port() != 0;
+  } catch (const Poco::Exception &) {
+    return false;
+  }
+}
+
+bool isHttpUrl(const std::string &Text) {
+  try {
+    const Poco::URI Url(Text);
+    return Url.getScheme() == "http" && isIpNumber(Url.getHost());
+  } catch (const Poco::Exception &) {
+    return false;
+  }
+}
+
+void checkPorts(const proto::NodeSettings &Settings, Problems *Found) {
+  std::map<std::uint32_t, std::string> Owners;
+  for (const auto &[Name, Port] :
+       {std::pair<std::string, std::uint32_t>("caller_port",
+                                              Settings.caller_port()),
+        {"ingress_port", Settings.ingress_port()},
+        {"local_port", Settings.local_port()},
+        {"peer_port", Settings.peer_port()},
+        {"operator_port", Settings.operator_port()}}) {
+    Found->require(Port >= 1 && Port <= kMaxPort,
+                   absl::StrCat("\"", Name, "\" is ", Port,
+                                ", not between 1 and ", kMaxPort));
+    const auto [Owner, Inserted] = Owners.emplace(Port, Name);
+    Found->require(Inserted, absl::StrCat("\"", Owner->second, "\" and \"",
+                                          Name, "\" are both ", Port));
+  }
+}
+
+void checkTimes(const proto::NodeSettings &Settings, Problems *Found) {
+  for (const auto &[Name, Value] :
+       {std::pair<std::string, std::uint32_t>("probe_interval_ms",
+                                              Settings.probe_interval_ms()),
+        {"suspicion_ms", Settings.suspicion_ms()},
+        {"announcement_lease_ms", Settings.announcement_lease_ms()}})
+    Found->require(Value >= kMinIntervalMs,
+                   absl::StrCat("\"", Name, "\" is ", Value,
+                                " ms, less than the least value of ",
+                                kMinIntervalMs, " ms"));
+}
+
+} // namespace internal
+
+absl::Status readSettings(std::string_view Text, std::string_view FileName,
+                          proto::NodeSettings *Settings) {
+  proto::NodeSettings Parsed;
+  const absl::Status Read = readCheckedJson(Text, FileName, &Parsed);
+  if (!Read.ok())
+    return Read;
+  internal::fillDefaults(&Parsed);
+  internal::Problems Found(FileName);
+  Found.require(!Parsed.node().empty(), "\"node\" is missing");
+  Found.require(!Parsed.data_centre().empty(), "\"data_centre\" is missing");
+  Found.require(internal::isIpNumber(Parsed.address()),
+                absl::StrCat("\"address\" is \"", Parsed.address(),
+                             "\", not an IP number"));
+  Found.require(internal::isHttpUrl(Parsed.log_url()),
+                absl::StrCat("\"log_url\" is \"", Parsed.log_url(),
+                             "\", not of the form http://IP:port"));
+  for (const std::string &Seed : Parsed.seeds())
+    Found.require(
+        internal::isIpAndPort(Seed),
+        absl::StrCat("seed \"", Seed, "\" is not of the form IP:port"));
+  internal::checkPorts(Parsed, &Found);
+  internal::checkTimes(Parsed, &Found);
+  LogLevel Level = LogLevel::Info;
+  const absl::Status LevelKnown = parseLogLevel(Parsed.log_level(), &Level);
+  Found.require(LevelKnown.ok(), std::string(LevelKnown.message()));
+  const absl::Status Checked = Found.status();
+  if (Checked.ok())
+    *Settings = Parsed;
+  return Checked;
+}
+
+} // namespace persimmonquay
--- /dev/null
+++ b/persimmonquay/peer/address_book.cc
@@ -0,0 +1,23 @@
+#include "persimmonquay/peer/address_book.h"
+
+#include "proto/settings.pb.h"
+
+namespace persimmonquay {
+
+AddressBook::AddressBook(const proto::NodeSettings &Settings) {
+  for (const proto::AddressTranslation &Translation : Settings.translations())
+    this->PrefixOf[Translation.data_centre()] = Translation.prefix();
+}
+
+std::string AddressBook::reach(const std::string &DataCentre,
+                               const std::string &Address) const {
+  const auto Found = this->PrefixOf.find(DataCentre);
+  if (Found == this->PrefixOf.end())
+    return Address;
+  const std::size_t SecondDot = Address.find('.', Address.find('.') + 1);
+  if (SecondDot == std::string::npos)
+    return Address;
+  return Found->second + Address.substr(SecondDot);
+}
+
+} // namespace persimmonquay
--- /dev/null
+++ b/persimmonquay/peer/address_book.h
@@ -0,0 +1,35 @@
+// Where nodes of other data centres are reached from here.
+#ifndef PERSIMMONQUAY_PEER_ADDRESS_BOOK_H
+#define PERSIMMONQUAY_PEER_ADDRESS_BOOK_H
+
+#include <map>
+#include <string>
+
+namespace persimmonquay::proto {
+class NodeSettings;
+} // namespace persimmonquay::proto
+
+namespace persimmonquay {
+
+/// Translates the addresses of other data centres as the settings say.
+///
+/// Immutable, therefore thread-safe.
+///
+/// Example:
+///   AddressBook Book(Settings);
+///   std::string Reached = Book.reach("hella", "127.2.0.1"); // "127.12.0.1"
+class AddressBook {
+public:
+  explicit AddressBook(const proto::NodeSettings &Settings);
+
+  /// Returns the IP number by which `Address` in `DataCentre` is reached.
+  std::string reach(const std::string &DataCentre,
+                    const std::string &Address) const;
+
+private:
+  std::map<std::string, std::string> PrefixOf;
+};
+
+} // namespace persimmonquay
+
+#endif // PERSIMMONQUAY_PEER_ADDRESS_BOOK_H
--- /dev/null
+++ b/persimmonquay/peer/cluster.h
@@ -0,0 +1,99 @@
+// A node's part in the group: probes, gossip and synchronisation of state.
+#ifndef PERSIMMONQUAY_PEER_CLUSTER_H
+#define PERSIMMONQUAY_PEER_CLUSTER_H
+
+#include "persimmonquay/base/time.h"
+#include "proto/peer.pb.h"
+#include <absl/status/status.h>
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace persimmonquay::proto {
+class NodeSettings;
+} // namespace persimmonquay::proto
+
+namespace persimmonquay {
+
+class ConfigStore;
+
+/// What a node calls when something arrived from its peers. The functions run
+/// on the cluster's threads and must not call back into it.
+struct ClusterEvents {
+  std::function<void()> MembersChanged;
+  std::function<void()> FactsChanged;
+  std::function<void(const proto::EvidenceCell &)> EvidenceArrived;
+};
+
+/// Bytes and messages since the start, for metrics.
+struct ClusterTraffic {
+  std::uint64_t DatagramsSent = 0;
+  std::uint64_t BytesSent = 0;
+  std::uint64_t BytesReceived = 0;
+  std::uint64_t Syncs = 0;
+};
+
+/// Keeps the member table, the facts and the configuration of this node in
+/// step with its peers. Datagrams carry probes, digests and small updates; a
+/// node that sees from a digest that it is behind fetches what it lacks.
+///
+/// Thread-safe after `start()`.
+///
+/// Example:
+///   Cluster Group(Settings, &Store, Events);
+///   absl::Status Status = Group.start();
+class Cluster {
+public:
+  Cluster(const proto::NodeSettings &Settings, ConfigStore *Store,
+          ClusterEvents Events);
+  Cluster(const Cluster &) = delete;
+  Cluster &operator=(const Cluster &) = delete;
+  ~Cluster();
+
+  // Commands.
+
+  /// Opens the sockets and starts the threads. Returns Unavailable, naming the
+  /// port, when one is taken.
+  absl::Status start();
+
+  /// Tells the peers that this node leaves, and stops the threads.
+  void stop();
+
+  /// Replaces what the node says about its upstream; see MemberTable.
+  void updateSelf(const proto::Member &Facts);
+
+  /// Merges a fact and spreads it at once if it is new.
+  void raiseFact(const proto::Fact &Fact);
+
+  /// Sends cells directly to the named nodes.
+  void sendEvidence(const std::vector<proto::EvidenceCell> &Cells,
+                    const std::vector<std::string> &Nodes);
+
+  /// Tells some peers at once that the configuration has changed. May be
+  /// called from inside the store's observer.
+  void announceConfig();
+
+  // Queries.
+
+  proto::Member self() const;
+  std::vector<proto::Member> members() const;
+  std::uint64_t factLevel(proto::FactKind Kind, const std::string &Key) const;
+  std::vector<proto::Fact> facts() const;
+
+  /// Returns whether this node is among the first `Count` of its data centre
+  /// for `Duty`; see MemberTable::hasDuty.
+  bool hasDuty(const std::string &Duty, std::size_t Count) const;
+
+  ClusterTraffic traffic() const;
+
+private:
+  class Implementation;
+  std::unique_ptr<Implementation> Impl;
+};
+
+} // namespace persimmonquay
+
+#endif // PERSIMMONQUAY_PEER_CLUSTER_H
--- /dev/null
+++ b/persimmonquay/routing/crash_blame.cc
@@ -0,0 +1,57 @@
+#include "persimmonquay/routing/crash_blame.h"
+
+namespace persimmonquay {
+
+CrashBlame::Start CrashBlame::start(std::uint64_t Fingerprint,
+                                    std::uint64_t Deaths) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  if (Deaths >= kDeathsToCondemn)
+    return Start::Refuse;
+  const bool Suspect = Deaths > 0;
+  if (Suspect && this->SuspectRuns)
+    return Start::Wait;
+  Run &Added = this->Running[Fingerprint];
+  ++Added.Copies;
+  Added.Suspect |= Suspect;
+  this->SuspectRuns |= Suspect;
+  return Start::Run;
+}
+
+void CrashBlame::end(std::uint64_t Fingerprint) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  const auto Found = this->Running.find(Fingerprint);
+  if (Found == this->Running.end() || --Found->second.Copies > 0)
+    return;
+  if (Found->second.Suspect)
+    this->SuspectRuns = false;
+  this->Running.erase(Found);
+  this->Changed.notify_all();
+}
+
+std::vector<std::uint64_t> CrashBlame::upstreamDied() {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  std::vector<std::uint64_t> All;
+  std::vector<std::uint64_t> Suspects;
+  for (const auto &[Fingerprint, Run] : this->Running) {
+    All.push_back(Fingerprint);
+    if (Run.Suspect)
+      Suspects.push_back(Fingerprint);
+  }
+  this->Running.clear();
+  this->SuspectRuns = false;
+  this->Changed.notify_all();
+  return Suspects.empty() ? All : Suspects;
+}
+
+std::size_t CrashBlame::running() const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  return this->Running.size();
+}
+
+void CrashBlame::waitForChange(MonoTime Deadline) const {
+  std::unique_lock<std::mutex> Lock(this->Mutex);
+  if (this->SuspectRuns)
+    this->Changed.wait_until(Lock, Deadline);
+}
+
+} // namespace persimmonquay
--- /dev/null
+++ b/testing/fleet/fleet.cc
@@ -0,0 +1,326 @@
+#include "testing/fleet/fleet.h"
+
+#include "persimmonquay/base/checked_json.h"
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <arpa/inet.h>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace persimmonquay::testing {
+namespace {
+
+namespace fs = std::filesystem;
+
+/// Second numbers of the addresses that one fleet may use.
+constexpr int kNumbersPerFleet = 24;
+constexpr int kFirstNumber = 2;
+constexpr int kLastNumber = 250;
+constexpr int kLinkOffset = 8;
+constexpr std::uint16_t kGuardPort = 6999;
+constexpr std::uint16_t kLogPort = 7000;
+constexpr std::uint16_t kLinkControlPort = 6998;
+/// Hosts for which a link is prepared, in each data centre.
+constexpr std::size_t kLinkedHosts = 24;
+constexpr Millis kStartTimeout{30000};
+
+/// Binds a port so that another test program picks other addresses.
+int bindGuard(const std::string &Address) {
+  const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in Wanted{};
+  Wanted.sin_family = AF_INET;
+  Wanted.sin_port = htons(kGuardPort);
+  inet_pton(AF_INET, Address.c_str(), &Wanted.sin_addr);
+  if (bind(Socket, reinterpret_cast<sockaddr *>(&Wanted), sizeof(Wanted)) == 0)
+    return Socket;
+  close(Socket);
+  return -1;
+}
+
+} // namespace
+
+Fleet::Fleet(std::size_t DataCentres, std::string ExtraSettings)
+    : DataCentres(DataCentres), ExtraSettings(std::move(ExtraSettings)),
+      HostsIn(DataCentres, 0) {
+  for (int First = kFirstNumber;
+       First + kNumbersPerFleet <= kLastNumber && this->GuardSocket < 0;
+       First += kNumbersPerFleet) {
+    this->Base = First;
+    this->GuardSocket = bindGuard(absl::StrCat("127.", First, ".255.1"));
+  }
+  if (this->GuardSocket < 0)
+    throw std::runtime_error("no range of loopback addresses is free");
+  std::string Pattern =
+      (fs::temp_directory_path() / "persimmonquay-XXXXXX").string();
+  this->Directory = mkdtemp(Pattern.data());
+}
+
+Fleet::~Fleet() {
+  this->Hosts.clear();
+  this->Links.reset();
+  this->Log.reset();
+  close(this->GuardSocket);
+  if (std::getenv("PQ_KEEP_FILES") == nullptr)
+    fs::remove_all(this->Directory);
+}
+
+std::string Fleet::program(const std::string &Name) const {
+  return (fs::read_symlink("/proc/self/exe").parent_path() / Name).string();
+}
+
+std::string Fleet::dataCentreName(std::size_t Index) const {
+  return absl::StrCat("dc", Index);
+}
+
+std::string Fleet::addressOf(std::size_t DataCentre, std::size_t Index) const {
+  return absl::StrCat("127.", this->Base + static_cast<int>(DataCentre), ".0.",
+                      Index + 1);
+}
+
+std::string Fleet::linkPrefix(std::size_t From, std::size_t To) const {
+  return absl::StrCat("127.",
+                      this->Base + kLinkOffset +
+                          static_cast<int>(From * this->DataCentres + To));
+}
+
+std::string Fleet::logAddressFor(std::size_t DataCentre) const {
+  return absl::StrCat("127.", this->Base, ".254.", DataCentre + 1);
+}
+
+void Fleet::startLog() {
+  const std::string Address = absl::StrCat("127.", this->Base, ".255.1");
+  this->Log = std::make_unique<Process>(
+      std::vector<std::string>{this->program("log_stand_in"), "--address",
+                               Address, "--port", absl::StrCat(kLogPort)},
+      this->Directory + "/log.out");
+}
+
+void Fleet::startLinks() {
+  const std::string Path = this->Directory + "/forwards";
+  std::ofstream File(Path);
+  for (std::size_t From = 0; From < this->DataCentres; ++From) {
+    File << "log-" << From << " tcp " << this->logAddressFor(From) << " 127."
+         << this->Base << ".255.1 " << kLogPort << "\n";
+    for (std::size_t To = 0; To < this->DataCentres; ++To)
+      for (std::size_t I = 0; To != From && I < kLinkedHosts; ++I)
+        for (const char *Line : {"tcp 7002", "tcp 7004", "udp 7004"})
+          File << From << "-" << To << " " << std::string(Line, 3) << " "
+               << this->linkPrefix(From, To) << ".0." << I + 1 << " "
+               << this->addressOf(To, I) << " " << Line + 4 << "\n";
+  }
+  File.close();
+  this->Links = std::make_unique<Process>(
+      std::vector<std::string>{this->program("link_stand_in"), "--forwards",
+                               Path, "--address",
+                               absl::StrCat("127.", this->Base, ".255.1"),
+                               "--port", absl::StrCat(kLinkControlPort)},
+      this->Directory + "/links.out");
+}
+
+Host &Fleet::addHost(const HostSpec &Spec) {
+  auto Added = std::make_unique<Host>();
+  Added->Spec = Spec;
+  const std::size_t Index = this->HostsIn[Spec.DataCentre]++;
+  Added->Address = this->addressOf(Spec.DataCentre, Index);
+  Added->Name =
+      absl::StrCat(this->dataCentreName(Spec.DataCentre), "-", Index + 1);
+  this->Hosts.push_back(std::move(Added));
+  Host &Last = *this->Hosts.back();
+  if (this->Started) {
+    this->startNode(&Last);
+    this->startUpstream(&Last);
+  }
+  return Last;
+}
+
+std::string Fleet::settingsOf(const Host &Of) const {
+  const std::size_t Own = Of.Spec.DataCentre;
+  std::string Seeds;
+  std::string Translations;
+  constexpr std::size_t kSeedsPerDataCentre = 2;
+  for (std::size_t I = 0; I < kSeedsPerDataCentre; ++I)
+    absl::StrAppend(&Seeds, Seeds.empty() ? "" : ", ", "\"",
+                    this->addressOf(Own, I), ":7004\"");
+  for (std::size_t To = 0; To < this->DataCentres; ++To) {
+    if (To == Own)
+      continue;
+    absl::StrAppend(&Seeds, ", \"", this->linkPrefix(Own, To), ".0.1:7004\"");
+    absl::StrAppend(&Translations, Translations.empty() ? "" : ", ",
+                    "{\"data_centre\": \"", this->dataCentreName(To),
+                    "\", \"prefix\": \"", this->linkPrefix(Own, To), "\"}");
+  }
+  return absl::StrCat(
+      "{\n  \"node\": \"", Of.Name, "\",\n  \"data_centre\": \"",
+      this->dataCentreName(Own), "\",\n  \"address\": \"", Of.Address,
+      "\",\n  \"caller_port\": 7001, \"ingress_port\": 7002, "
+      "\"local_port\": 7003, \"peer_port\": 7004, \"operator_port\": 7005,\n"
+      "  \"log_url\": \"http://",
+      this->logAddressFor(Own), ":", kLogPort, "\",\n  \"seeds\": [", Seeds,
+      "],\n  \"translations\": [", Translations, "],\n  \"trace_file\": \"",
+      this->Directory, "/", Of.Name, ".trace\"",
+      this->ExtraSettings.empty() ? "" : ",\n  ", this->ExtraSettings, "\n}\n");
+}
+
+void Fleet::startNode(Host *Starting) {
+  const std::string Path =
+      absl::StrCat(this->Directory, "/", Starting->Name, ".json");
+  std::ofstream(Path) << this->settingsOf(*Starting);
+  Starting->Node = std::make_unique<Process>(
+      std::vector<std::string>{this->program("persimmonquay"), "node",
+                               "--settings", Path},
+      absl::StrCat(this->Directory, "/", Starting->Name, ".log"));
+}
+
+void Fleet::startUpstream(Host *Starting) {
+  if (Starting->Spec.Service.empty())
+    return;
+  std::vector<std::string> Command = {this->program("upstream_stand_in"),
+                                      "--name",
+                                      Starting->Name,
+                                      "--service",
+                                      Starting->Spec.Service,
+                                      "--version",
+                                      Starting->Spec.Version,
+                                      "--address",
+                                      Starting->Address,
+                                      "--port",
+                                      "7010",
+                                      "--node_address",
+                                      Starting->Address,
+                                      "--node_port",
+                                      "7003"};
+  for (const auto &[Name, Value] : Starting->Spec.Upstream) {
+    Command.push_back("--" + Name);
+    Command.push_back(Value);
+  }
+  Starting->Upstream = std::make_unique<Process>(
+      Command,
+      absl::StrCat(this->Directory, "/", Starting->Name, ".upstream.out"));
+}
+
+void Fleet::startAll() {
+  this->startLog();
+  this->startLinks();
+  for (const auto &Each : this->Hosts) {
+    this->startNode(Each.get());
+    this->startUpstream(Each.get());
+  }
+  this->Started = true;
+  if (!this->waitForMembers(this->Hosts.size(), kStartTimeout))
+    throw std::runtime_error("the nodes did not find each other; logs in " +
+                             this->Directory);
+}
+
+void Fleet::controlLog(const std::string &Query) const {
+  request({absl::StrCat("127.", this->Base, ".255.1"), kLogPort}, "POST",
+          "/control?" + Query);
+}
+
+void Fleet::controlLink(const std::string &Link,
+                        const std::string &Query) const {
+  request({absl::StrCat("127.", this->Base, ".255.1"), kLinkControlPort},
+          "POST", absl::StrCat("/control?link=", Link, "&", Query));
+}
+
+void Fleet::controlUpstream(const Host &To, const std::string &Query) {
+  request(To.upstream(), "POST", "/control?" + Query);
+}
+
+void Fleet::cutFromOthers(std::size_t DataCentre, bool Cut) const {
+  for (std::size_t Other = 0; Other < this->DataCentres; ++Other) {
+    if (Other == DataCentre)
+      continue;
+    const std::string Query = absl::StrCat("cut=", Cut ? 1 : 0);
+    this->controlLink(absl::StrCat(DataCentre, "-", Other), Query);
+    this->controlLink(absl::StrCat(Other, "-", DataCentre), Query);
+  }
+}
+
+void Fleet::cutFromLog(std::size_t DataCentre, bool Cut) const {
+  this->controlLink(absl::StrCat("log-", DataCentre),
+                    absl::StrCat("cut=", Cut ? 1 : 0));
+}
+
+CommandResult Fleet::run(const Host &Through,
+                         const std::vector<std::string> &Words) const {
+  std::vector<std::string> Command = {this->program("persimmonquay")};
+  Command.insert(Command.end(), Words.begin(), Words.end());
+  Command.push_back("--node");
+  Command.push_back(absl::StrCat(Through.Address, ":7005"));
+  static int NextOutput = 0;
+  const std::string Path =
+      absl::StrCat(this->Directory, "/command-", NextOutput++, ".out");
+  Process Running(Command, Path);
+  const auto Code = Running.wait(std::chrono::minutes(2));
+  return CommandResult{Code.value_or(-1), Running.output()};
+}
+
+CommandResult Fleet::publish(const Host &Through,
+                             const std::string &Text) const {
+  const std::string Path = this->Directory + "/published.json";
+  std::ofstream(Path) << Text;
+  return this->run(Through, {"config", "publish", Path});
+}
+
+std::vector<Host *> Fleet::hostsOf(const std::string &Service,
+                                   const std::string &Version) const {
+  std::vector<Host *> Result;
+  for (const auto &Each : this->Hosts)
+    if (Each->Spec.Service == Service && Each->Spec.Version == Version)
+      Result.push_back(Each.get());
+  return Result;
+}
+
+bool Fleet::waitForMembers(std::size_t Count, Millis Timeout) const {
+  return eventually(Timeout, [&] {
+    for (const auto &Each : this->Hosts)
+      if (Each->Node != nullptr &&
+          metricOf(Each->local(), "pq_upstreams") != static_cast<double>(Count))
+        return false;
+    return true;
+  });
+}
+
+bool Fleet::waitForVersion(std::uint64_t Version, Millis Timeout) const {
+  return eventually(Timeout, [&] {
+    for (const auto &Each : this->Hosts)
+      if (Each->Node != nullptr &&
+          metricOf(Each->local(), "pq_config_version") <
+              static_cast<double>(Version))
+        return false;
+    return true;
+  });
+}
+
+std::vector<std::uint64_t> Fleet::appliedVersions(const Host &Of) {
+  std::vector<std::uint64_t> Result;
+  for (absl::string_view Line : absl::StrSplit(Of.Node->output(), '\n')) {
+    const auto Value =
+        nlohmann::json::parse(Line.begin(), Line.end(), nullptr, false);
+    if (Value.is_object() && Value["message"] == "configuration applied")
+      Result.push_back(std::stoull(Value["version"].get<std::string>()));
+  }
+  return Result;
+}
+
+std::map<std::string, int> Fleet::runsOfKeys() const {
+  std::map<std::string, int> Result;
+  for (const auto &Each : this->Hosts) {
+    const ExchangeResult Answer = request(Each->upstream(), "GET", "/runs");
+    const auto Value = nlohmann::json::parse(Answer.Reply.Body, nullptr, false);
+    if (!Value.is_object())
+      continue;
+    for (const auto &[Key, Runs] : Value["keys"].items())
+      Result[Key] += Runs.get<int>();
+  }
+  return Result;
+}
+
+} // namespace persimmonquay::testing
--- /dev/null
+++ b/testing/fleet/load.cc
@@ -0,0 +1,126 @@
+#include "testing/fleet/load.h"
+
+#include "persimmonquay/node/http_pool.h"
+#include "persimmonquay/routing/outcome.h"
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <utility>
+
+namespace persimmonquay::testing {
+namespace {
+
+constexpr std::size_t kMaxExamples = 10;
+constexpr Millis kCallerTimeout{8000};
+
+std::string freshCaller() {
+  thread_local std::mt19937_64 Random(std::random_device{}());
+  return absl::StrCat(Random());
+}
+
+/// Returns whether an answer was made for this very request.
+bool belongsTo(const nlohmann::json &Answer, const std::string &Target,
+               const std::string &Caller) {
+  return Answer.is_object() && Answer.value("target", "") == Target &&
+         Answer.value("caller", "") == Caller;
+}
+
+} // namespace
+
+void LoadReport::add(const LoadReport &Other) {
+  this->Calls += Other.Calls;
+  this->Good += Other.Good;
+  this->Failed += Other.Failed;
+  this->NotRun += Other.NotRun;
+  this->Unknown += Other.Unknown;
+  this->Broken += Other.Broken;
+  this->Wrong += Other.Wrong;
+  for (const auto &[Version, Count] : Other.ByVersion)
+    this->ByVersion[Version] += Count;
+  this->Latencies.insert(this->Latencies.end(), Other.Latencies.begin(),
+                         Other.Latencies.end());
+  for (const std::string &Example : Other.Examples)
+    if (this->Examples.size() < kMaxExamples)
+      this->Examples.push_back(Example);
+}
+
+std::chrono::microseconds LoadReport::quantile(double Fraction) const {
+  if (this->Latencies.empty())
+    return std::chrono::microseconds(0);
+  std::vector<std::chrono::microseconds> Sorted = this->Latencies;
+  std::sort(Sorted.begin(), Sorted.end());
+  const auto Index =
+      static_cast<std::size_t>(Fraction * static_cast<double>(Sorted.size()));
+  return Sorted[std::min(Index, Sorted.size() - 1)];
+}
+
+Load::Load(std::vector<Place> Nodes, std::vector<std::string> Targets,
+           std::size_t Callers, Millis Pause)
+    : Nodes(std::move(Nodes)), Targets(std::move(Targets)), Callers(Callers),
+      Pause(Pause) {}
+
+Load::~Load() { this->stop(); }
+
+void Load::start() {
+  for (std::size_t I = 0; I < this->Callers; ++I)
+    this->Threads.emplace_back([this, I] { this->runCaller(I); });
+}
+
+LoadReport Load::stop() {
+  this->Stopping = true;
+  for (std::thread &Thread : this->Threads)
+    Thread.join();
+  this->Threads.clear();
+  return this->Total;
+}
+
+void Load::runCaller(std::size_t Index) {
+  HttpPool Pool;
+  LoadReport Own;
+  for (std::size_t I = Index; !this->Stopping; ++I) {
+    callOnce(&Pool, this->Nodes[I % this->Nodes.size()], "GET",
+             this->Targets[I % this->Targets.size()], {}, &Own);
+    std::this_thread::sleep_for(this->Pause);
+  }
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->Total.add(Own);
+}
+
+void Load::callOnce(HttpPool *Pool, const Place &Node,
+                    const std::string &Method, const std::string &Target,
+                    const std::vector<HeaderField> &Headers,
+                    LoadReport *Report) {
+  const std::string Caller = freshCaller();
+  CallRequest Request{Method, Target, Headers, ""};
+  Request.Headers.push_back(HeaderField{"x-caller", Caller});
+  const MonoTime Start = monoNow();
+  const ExchangeResult Result =
+      Pool->exchange(Node.Address, Node.Port, Request, kCallerTimeout);
+  Report->Latencies.push_back(
+      std::chrono::duration_cast<std::chrono::microseconds>(monoNow() - Start));
+  ++Report->Calls;
+  const std::string Outcome = findHeader(Result.Reply.Headers, kOutcomeHeader);
+  const auto Answer = nlohmann::json::parse(Result.Reply.Body, nullptr, false);
+  std::string Example =
+      absl::StrCat(Node.Address, " ", Target, ": ", Result.Reply.Status, " ",
+                   Outcome, " ", Result.Detail, " ", Result.Reply.Body);
+  if (Result.Ended != ExchangeResult::End::Answered) {
+    ++Report->Broken;
+  } else if (Outcome == "not-run") {
+    ++Report->NotRun;
+  } else if (Outcome == "unknown") {
+    ++Report->Unknown;
+  } else if (!belongsTo(Answer, Target, Caller)) {
+    ++Report->Wrong;
+  } else {
+    ++Report->ByVersion[Answer.value("version", "")];
+    ++(Result.Reply.Status >= 500 ? Report->Failed : Report->Good);
+    if (Result.Reply.Status < 500)
+      return;
+  }
+  if (Report->Examples.size() < kMaxExamples)
+    Report->Examples.push_back(std::move(Example));
+}
+
+} // namespace persimmonquay::testing
--- /dev/null
+++ b/testing/fleet/load.h
@@ -0,0 +1,77 @@
+// Callers that send requests and check every answer against its request.
+#ifndef PERSIMMONQUAY_TESTING_FLEET_LOAD_H
+#define PERSIMMONQUAY_TESTING_FLEET_LOAD_H
+
+#include "persimmonquay/base/time.h"
+#include "testing/fleet/http.h"
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace persimmonquay::testing {
+
+/// What callers saw.
+struct LoadReport {
+  std::uint64_t Calls = 0;
+  /// Whole answers of status 200 that belong to their request.
+  std::uint64_t Good = 0;
+  /// Answers of status 500 and above that an upstream gave.
+  std::uint64_t Failed = 0;
+  std::uint64_t NotRun = 0;
+  std::uint64_t Unknown = 0;
+  /// Connections that broke without an answer.
+  std::uint64_t Broken = 0;
+  /// Answers that belong to another request or are not whole.
+  std::uint64_t Wrong = 0;
+  std::map<std::string, std::uint64_t> ByVersion;
+  std::vector<std::chrono::microseconds> Latencies;
+  /// Texts of the first refusals and failures, for the test's message.
+  std::vector<std::string> Examples;
+
+  void add(const LoadReport &Other);
+  std::chrono::microseconds quantile(double Fraction) const;
+};
+
+/// Callers on threads of their own, each with one request at a time.
+///
+/// Example:
+///   Load Callers(Places, {"/catalogue/boards"}, 8, Millis(5));
+///   Callers.start();
+///   LoadReport Report = Callers.stop();
+class Load {
+public:
+  Load(std::vector<Place> Nodes, std::vector<std::string> Targets,
+       std::size_t Callers, Millis Pause);
+  Load(const Load &) = delete;
+  Load &operator=(const Load &) = delete;
+  ~Load();
+
+  void start();
+  LoadReport stop();
+
+  /// Sends one request and adds what came of it to `Report`.
+  static void callOnce(HttpPool *Pool, const Place &Node,
+                       const std::string &Method, const std::string &Target,
+                       const std::vector<HeaderField> &Headers,
+                       LoadReport *Report);
+
+private:
+  void runCaller(std::size_t Index);
+
+  const std::vector<Place> Nodes;
+  const std::vector<std::string> Targets;
+  const std::size_t Callers;
+  const Millis Pause;
+  std::atomic<bool> Stopping = false;
+  std::vector<std::thread> Threads;
+  std::mutex Mutex;
+  LoadReport Total;
+};
+
+} // namespace persimmonquay::testing
+
+#endif // PERSIMMONQUAY_TESTING_FLEET_LOAD_H
--- /dev/null
+++ b/testing/fleet/process.cc
@@ -0,0 +1,70 @@
+#include "testing/fleet/process.h"
+
+#include "persimmonquay/base/checked_json.h"
+#include <csignal>
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+namespace persimmonquay::testing {
+
+Process::Process(const std::vector<std::string> &Command,
+                 std::string OutputPath)
+    : OutputPath(std::move(OutputPath)) {
+  std::vector<char *> Words;
+  for (const std::string &Word : Command)
+    Words.push_back(const_cast<char *>(Word.c_str()));
+  Words.push_back(nullptr);
+  this->Id = fork();
+  if (this->Id != 0)
+    return;
+  // The child: only calls that are safe after a fork.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  const int Output = open(this->OutputPath.c_str(),
+                          O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  dup2(Output, STDOUT_FILENO);
+  dup2(Output, STDERR_FILENO);
+  sigset_t None;
+  sigemptyset(&None);
+  sigprocmask(SIG_SETMASK, &None, nullptr);
+  execv(Words[0], Words.data());
+  _exit(127);
+}
+
+Process::~Process() {
+  if (this->ExitCode)
+    return;
+  this->signal(SIGKILL);
+  this->wait(std::chrono::seconds(10));
+}
+
+void Process::signal(int Number) const {
+  if (!this->ExitCode)
+    kill(this->Id, Number);
+}
+
+std::optional<int> Process::wait(Millis Timeout) {
+  const MonoTime Deadline = monoNow() + Timeout;
+  while (!this->ExitCode) {
+    int Status = 0;
+    if (waitpid(this->Id, &Status, WNOHANG) == this->Id)
+      this->ExitCode =
+          WIFEXITED(Status) ? WEXITSTATUS(Status) : -WTERMSIG(Status);
+    else if (monoNow() >= Deadline)
+      break;
+    else
+      std::this_thread::sleep_for(Millis(5));
+  }
+  return this->ExitCode;
+}
+
+std::string Process::output() const {
+  std::string Text;
+  (void)readFile(this->OutputPath, &Text);
+  return Text;
+}
+
+} // namespace persimmonquay::testing
