--- a/persimmonquay/base/checked_json.cc
+++ b/persimmonquay/base/checked_json.cc
@@ -100,6 +100,7 @@
   void checkEnum(const Json &Item, const FieldDescriptor &Field,
                  const std::string &Key) {
     std::vector<std::string> Known;
+    Known.reserve(Field.enum_type()->value_count());
     for (int I = 0; I < Field.enum_type()->value_count(); ++I)
       Known.push_back(Field.enum_type()->value(I)->name());
     const bool Valid =
@@ -126,6 +127,7 @@
 
   void addUnknownKey(const std::string &Key, const Descriptor &Schema) {
     std::vector<std::string> Known;
+    Known.reserve(Schema.field_count());
     for (int I = 0; I < Schema.field_count(); ++I)
       Known.push_back(Schema.field(I)->name());
     std::string Message = absl::StrCat("unknown key \"", Key, "\"");
@@ -195,9 +197,9 @@
 
 std::string nearestWord(std::string_view Word,
                         const std::vector<std::string> &Known) {
-  constexpr std::size_t kFarthest = 4;
+  constexpr std::size_t Farthest = 4;
   std::string Best;
-  std::size_t BestDistance = std::min(kFarthest, Word.size() / 2 + 1);
+  std::size_t BestDistance = std::min(Farthest, Word.size() / 2 + 1);
   for (const std::string &Candidate : Known) {
     const std::size_t Distance = internal::editDistance(Word, Candidate);
     if (Distance <= BestDistance && (Best.empty() || Distance < BestDistance)) {
--- a/persimmonquay/cli/run.cc
+++ b/persimmonquay/cli/run.cc
@@ -21,7 +21,7 @@
 namespace persimmonquay {
 namespace internal {
 
-constexpr Millis kGracefulStop{30000};
+constexpr Millis GracefulStop{30000};
 
 ExitCode complain(const absl::Status &Status) {
   std::cerr << "persimmonquay: " << std::string(Status.message()) << "\n";
@@ -87,7 +87,7 @@
 
 absl::Status readResources(const std::string &Path, proto::ResourceFile *File) {
   std::string Text;
-  const absl::Status Opened = readFile(Path, &Text);
+  absl::Status Opened = readFile(Path, &Text);
   if (!Opened.ok())
     return Opened;
   return readCheckedJson(Text, Path, File);
@@ -121,7 +121,7 @@
   }
   int Received = 0;
   sigwait(&Signals, &Received);
-  Daemon.stop(kGracefulStop);
+  Daemon.stop(GracefulStop);
   return ExitCode::Done;
 }
 
--- a/persimmonquay/config/acceptance.cc
+++ b/persimmonquay/config/acceptance.cc
@@ -306,17 +306,17 @@
   for (const auto &[Name, Move] : State->moves())
     if (Move.state() != proto::ACTIVE)
       Ended.emplace_back(Move.version(), Name);
-  if (Ended.size() <= static_cast<std::size_t>(kMaxEndedMoves))
+  if (Ended.size() <= static_cast<std::size_t>(MaxEndedMoves))
     return;
   std::sort(Ended.begin(), Ended.end());
-  Ended.resize(Ended.size() - static_cast<std::size_t>(kMaxEndedMoves));
+  Ended.resize(Ended.size() - static_cast<std::size_t>(MaxEndedMoves));
   for (const auto &[Version, Name] : Ended)
     State->mutable_moves()->erase(Name);
 }
 
 void addAudit(proto::AuditEntry Entry, ConfigurationState *State) {
   *State->add_audit() = std::move(Entry);
-  const int Excess = State->audit_size() - kMaxAuditEntries;
+  const int Excess = State->audit_size() - MaxAuditEntries;
   if (Excess > 0)
     State->mutable_audit()->DeleteSubrange(0, Excess);
 }
@@ -356,7 +356,7 @@
   if (Record.has_change()) {
     const proto::Change &Change = Record.change();
     if (const auto *Known = internal::findAudit(*State, Change.id())) {
-      const Verdict First{Known->accepted(), Known->reason()};
+      Verdict First{Known->accepted(), Known->reason()};
       State->set_next_offset(Version);
       return First;
     }
--- a/persimmonquay/config/acceptance.h
+++ b/persimmonquay/config/acceptance.h
@@ -19,10 +19,10 @@
 
 /// Number of verdicts that the state keeps; a change whose append was answered
 /// by an error is looked up among them by its id.
-inline constexpr int kMaxAuditEntries = 1000;
+inline constexpr int MaxAuditEntries = 1000;
 
 /// Number of ended moves that the state keeps.
-inline constexpr int kMaxEndedMoves = 200;
+inline constexpr int MaxEndedMoves = 200;
 
 /// The answer to one record.
 struct Verdict {
--- a/persimmonquay/config/config_store.cc
+++ b/persimmonquay/config/config_store.cc
@@ -8,7 +8,7 @@
 namespace internal {
 
 /// Records kept for peers that are behind; older gaps are filled by a state.
-constexpr std::size_t kMaxKeptBytes = 1 << 20;
+constexpr std::size_t MaxKeptBytes = 1 << 20;
 
 } // namespace internal
 
@@ -84,7 +84,7 @@
                                    const std::string &Payload) {
   this->Kept.push_back(KeptRecord{Offset, Payload});
   this->KeptBytes += Payload.size();
-  while (this->KeptBytes > internal::kMaxKeptBytes) {
+  while (this->KeptBytes > internal::MaxKeptBytes) {
     this->KeptBytes -= this->Kept.front().Payload.size();
     this->Kept.pop_front();
   }
--- a/persimmonquay/membership/broadcast_queue.cc
+++ b/persimmonquay/membership/broadcast_queue.cc
@@ -10,7 +10,7 @@
 namespace internal {
 
 /// Sends of one update for each doubling of the number of members.
-constexpr std::size_t kSendsPerDoubling = 3;
+constexpr std::size_t SendsPerDoubling = 3;
 
 } // namespace internal
 
@@ -46,12 +46,12 @@
                      return Left->second.Sends < Right->second.Sends;
                    });
   const std::size_t MaxSends =
-      internal::kSendsPerDoubling * std::bit_width(Members + 1);
+      internal::SendsPerDoubling * std::bit_width(Members + 1);
   std::size_t Bytes = Datagram->ByteSizeLong();
   std::vector<std::string> Done;
   for (Item *Entry : Order) {
     Update &Next = Entry->second;
-    if (Bytes + Next.Bytes > kMaxDatagramBytes)
+    if (Bytes + Next.Bytes > MaxDatagramBytes)
       continue;
     Bytes += Next.Bytes;
     Datagram->MergeFrom(Next.Content);
--- a/persimmonquay/membership/broadcast_queue.h
+++ b/persimmonquay/membership/broadcast_queue.h
@@ -10,7 +10,7 @@
 namespace persimmonquay {
 
 /// Largest datagram that nodes send; fits one Ethernet frame.
-inline constexpr std::size_t kMaxDatagramBytes = 1400;
+inline constexpr std::size_t MaxDatagramBytes = 1400;
 
 /// Keeps the newest update about each subject and adds those sent least often
 /// to outgoing datagrams. An update is dropped after a number of sends that
@@ -26,7 +26,7 @@
   void addMember(const proto::Member &Member);
   void addFact(const proto::Fact &Fact);
 
-  /// Adds as many updates to `Datagram` as fit into kMaxDatagramBytes.
+  /// Adds as many updates to `Datagram` as fit into MaxDatagramBytes.
   void fill(std::size_t Members, proto::Datagram *Datagram);
 
   std::size_t size() const { return this->Updates.size(); }
--- a/persimmonquay/membership/fact_table.cc
+++ b/persimmonquay/membership/fact_table.cc
@@ -6,8 +6,8 @@
 namespace persimmonquay {
 namespace internal {
 
-constexpr std::size_t kMaxFacts = 20000;
-constexpr std::size_t kMaxDetailBytes = 200;
+constexpr std::size_t MaxFacts = 20000;
+constexpr std::size_t MaxDetailBytes = 200;
 
 std::uint64_t hashFact(const proto::Fact &Fact) {
   return hashBytes(absl::StrCat(static_cast<int>(Fact.kind()), " ", Fact.key(),
@@ -26,12 +26,12 @@
   if (Heard.kind() == proto::FACT_KIND_UNSPECIFIED || Heard.key().empty() ||
       Heard.expires_unix_ms() <= unixMillis(Now))
     return false;
-  if (Heard.detail().size() > internal::kMaxDetailBytes)
+  if (Heard.detail().size() > internal::MaxDetailBytes)
     return false;
   const auto Key = std::make_pair(static_cast<int>(Heard.kind()), Heard.key());
   const auto Found = this->Facts.find(Key);
   if (Found == this->Facts.end()) {
-    if (this->Facts.size() >= internal::kMaxFacts)
+    if (this->Facts.size() >= internal::MaxFacts)
       return false;
     this->Facts.emplace(Key, Heard);
     this->Hash ^= internal::hashFact(Heard);
--- a/persimmonquay/membership/failure_detector.cc
+++ b/persimmonquay/membership/failure_detector.cc
@@ -124,7 +124,7 @@
         return "";
       std::shuffle(this->Round.begin(), this->Round.end(), Random);
     }
-    const std::string Candidate = this->Round.back();
+    std::string Candidate = this->Round.back();
     this->Round.pop_back();
     const proto::Member *Member = Table.find(Candidate);
     if (Member != nullptr && Member->state() <= proto::SUSPECT)
--- a/persimmonquay/membership/member_table.cc
+++ b/persimmonquay/membership/member_table.cc
@@ -10,7 +10,7 @@
 namespace internal {
 
 std::size_t bucketOf(std::string_view Node) {
-  return hashBytes(Node) % kMemberBuckets;
+  return hashBytes(Node) % MemberBucketCount;
 }
 
 std::uint64_t hashMember(const proto::Member &Member) {
@@ -30,7 +30,7 @@
 
 } // namespace internal
 
-MemberTable::MemberTable(proto::Member Own) : OwnNode(Own.node()) {
+MemberTable::MemberTable(const proto::Member &Own) : OwnNode(Own.node()) {
   this->store(Own, MonoTime());
 }
 
--- a/persimmonquay/membership/member_table.h
+++ b/persimmonquay/membership/member_table.h
@@ -14,9 +14,9 @@
 namespace persimmonquay {
 
 /// Number of hashes by which two tables are compared.
-inline constexpr std::size_t kMemberBuckets = 64;
+inline constexpr std::size_t MemberBucketCount = 64;
 
-using MemberBuckets = std::array<std::uint64_t, kMemberBuckets>;
+using MemberBuckets = std::array<std::uint64_t, MemberBucketCount>;
 
 /// The members of all data centres. Entries merge in any order: the higher
 /// incarnation wins, and at equal incarnations the later state (alive, suspect,
@@ -32,7 +32,7 @@
 class MemberTable {
 public:
   /// Creates a table that holds just the node itself.
-  explicit MemberTable(proto::Member Own);
+  explicit MemberTable(const proto::Member &Own);
 
   // Commands.
 
--- a/persimmonquay/move/evidence_table.cc
+++ b/persimmonquay/move/evidence_table.cc
@@ -6,14 +6,14 @@
 namespace persimmonquay {
 namespace internal {
 
-constexpr Millis kMaxSpanDistance = std::chrono::hours(1);
-constexpr std::size_t kMaxCells = 100000;
+constexpr Millis MaxSpanDistance = std::chrono::hours(1);
+constexpr std::size_t MaxCells = 100000;
 
 void addCell(const proto::EvidenceCell &Cell, VersionCounts *Counts) {
   Counts->Calls += static_cast<double>(Cell.calls());
   Counts->Errors += static_cast<double>(Cell.errors());
   const int Buckets =
-      std::min(Cell.latency_size(), static_cast<int>(kLatencyBuckets));
+      std::min(Cell.latency_size(), static_cast<int>(LatencyBuckets));
   for (int I = 0; I < Buckets; ++I)
     Counts->Latency[static_cast<std::size_t>(I)] += Cell.latency(I);
 }
@@ -25,7 +25,7 @@
     : Move(std::move(Move)), Node(std::move(Node)), Boot(Boot) {}
 
 std::int64_t EvidenceTable::spanOf(WallTime Time) {
-  return Time.time_since_epoch() / kEvidenceSpan;
+  return Time.time_since_epoch() / EvidenceSpan;
 }
 
 void EvidenceTable::count(const CallResult &Result, WallTime Now) {
@@ -56,14 +56,14 @@
   if (Cell.move() != this->Move || Cell.node() == this->Node)
     return false;
   const std::int64_t Distance = Cell.span() - spanOf(Now);
-  const std::int64_t MaxDistance = internal::kMaxSpanDistance / kEvidenceSpan;
+  const std::int64_t MaxDistance = internal::MaxSpanDistance / EvidenceSpan;
   if (std::abs(Distance) > MaxDistance || Cell.errors() > Cell.calls())
     return false;
   const CellKey Key{Cell.span(), Cell.route(), Cell.to_new_version(),
                     Cell.node(), Cell.boot()};
   const auto Found = this->Cells.find(Key);
   if (Found == this->Cells.end()) {
-    if (this->Cells.size() >= internal::kMaxCells)
+    if (this->Cells.size() >= internal::MaxCells)
       return false;
     this->Cells.emplace(Key, Cell);
     return true;
--- a/persimmonquay/move/evidence_table.h
+++ b/persimmonquay/move/evidence_table.h
@@ -15,13 +15,13 @@
 namespace persimmonquay {
 
 /// Length of one span; old and new are compared within the same span.
-inline constexpr Millis kEvidenceSpan{5000};
+inline constexpr Millis EvidenceSpan{5000};
 
 /// Calls to one version of one route in one span, over all nodes.
 struct VersionCounts {
   double Calls = 0;
   double Errors = 0;
-  std::array<double, kLatencyBuckets> Latency{};
+  std::array<double, LatencyBuckets> Latency{};
 };
 
 /// Both versions side by side.
--- a/persimmonquay/move/harm_test.cc
+++ b/persimmonquay/move/harm_test.cc
@@ -17,21 +17,21 @@
   double NewEvents = 0;
 };
 
-constexpr std::array<double, 3> kErrorAlternatives = {0.03, 0.2, 0.8};
-constexpr std::array<double, 3> kSlowAlternatives = {0.35, 0.6, 0.95};
-constexpr std::array<double, 3> kRatioAlternatives = {3.0, 10.0, 100.0};
+constexpr std::array<double, 3> ErrorAlternatives = {0.03, 0.2, 0.8};
+constexpr std::array<double, 3> SlowAlternatives = {0.35, 0.6, 0.95};
+constexpr std::array<double, 3> RatioAlternatives = {3.0, 10.0, 100.0};
 
 /// E-value, as a logarithm, at which evidence counts for slowing down.
-const double kLogSuspicious = std::log(20.0);
+const double LogSuspicious = std::log(20.0);
 
 /// Newest spans by which harm that goes on now is told from harm that is over.
-constexpr std::size_t kRecentSpans = 6;
+constexpr std::size_t RecentSpans = 6;
 
 /// Ratio of the rates that shared harm must refute.
-constexpr double kSharedRatio = 3.0;
+constexpr double SharedRatio = 3.0;
 
 /// Old calls needed before their quantile is used as a reference.
-constexpr double kMinReferenceCalls = 20;
+constexpr double MinReferenceCalls = 20;
 
 double logAddExp(double Left, double Right) {
   const double High = std::max(Left, Right);
@@ -107,7 +107,7 @@
 double relativeEvidence(const std::vector<EventCounts> &Spans,
                         double ToleratedRatio, double PlannedSpans) {
   std::vector<StartMixture> Mixtures;
-  for (double Ratio : kRatioAlternatives) {
+  for (double Ratio : RatioAlternatives) {
     StartMixture Mixture(PlannedSpans);
     for (const EventCounts &Span : Spans) {
       const double Calls = Span.OldCalls + Span.NewCalls;
@@ -127,7 +127,7 @@
 }
 
 /// Log likelihood ratio of "both versions suffer alike" to "the new version
-/// suffers kSharedRatio times as much".
+/// suffers SharedRatio times as much".
 double sharedEvidence(const std::vector<EventCounts> &Spans) {
   double Sum = 0;
   for (const EventCounts &Span : Spans) {
@@ -137,7 +137,7 @@
     const double Share = Span.NewCalls / Calls;
     Sum += bernoulliLogRatio(Span.NewEvents, Span.NewEvents + Span.OldEvents,
                              newShareOfEvents(Share, 1.0),
-                             newShareOfEvents(Share, kSharedRatio));
+                             newShareOfEvents(Share, SharedRatio));
   }
   return Sum;
 }
@@ -145,7 +145,7 @@
 HarmEvidence weigh(const std::vector<EventCounts> &Spans,
                    std::span<const double> Alternatives, double Tolerated,
                    double ToleratedRatio, double PlannedSpans) {
-  const std::size_t Recent = std::min(Spans.size(), kRecentSpans);
+  const std::size_t Recent = std::min(Spans.size(), RecentSpans);
   const std::vector<EventCounts> Newest(
       Spans.end() - static_cast<std::ptrdiff_t>(Recent), Spans.end());
   HarmEvidence Result;
@@ -153,7 +153,7 @@
       absoluteEvidence(Spans, Alternatives, Tolerated, PlannedSpans);
   Result.LogRelative = relativeEvidence(Spans, ToleratedRatio, PlannedSpans);
   Result.LogRecent =
-      absoluteEvidence(Newest, Alternatives, Tolerated, kRecentSpans);
+      absoluteEvidence(Newest, Alternatives, Tolerated, RecentSpans);
   Result.LogShared = sharedEvidence(Newest);
   return Result;
 }
@@ -170,22 +170,22 @@
 /// by itself.
 std::vector<EventCounts> slowCalls(const std::vector<SpanCounts> &Spans,
                                    double Quantile) {
-  std::array<double, kLatencyBuckets> Reference{};
+  std::array<double, LatencyBuckets> Reference{};
   for (const SpanCounts &Span : Spans) {
-    if (sumFrom(Reference, 0) >= kMinReferenceCalls)
+    if (sumFrom(Reference, 0) >= MinReferenceCalls)
       break;
-    for (std::size_t I = 0; I < kLatencyBuckets; ++I)
+    for (std::size_t I = 0; I < LatencyBuckets; ++I)
       Reference[I] += Span.Old.Latency[I];
   }
   std::vector<EventCounts> Result;
-  if (sumFrom(Reference, 0) < kMinReferenceCalls)
+  if (sumFrom(Reference, 0) < MinReferenceCalls)
     return Result;
   for (const SpanCounts &Span : Spans) {
     const std::size_t FirstSlow = quantileBucket(Reference, Quantile) + 1;
     Result.push_back(EventCounts{
         sumFrom(Span.Old.Latency, 0), sumFrom(Span.Old.Latency, FirstSlow),
         sumFrom(Span.New.Latency, 0), sumFrom(Span.New.Latency, FirstSlow)});
-    for (std::size_t I = 0; I < kLatencyBuckets; ++I)
+    for (std::size_t I = 0; I < LatencyBuckets; ++I)
       Reference[I] += Span.Old.Latency[I];
   }
   return Result;
@@ -194,17 +194,18 @@
 } // namespace internal
 
 bool HarmEvidence::isSuspicious() const {
-  return this->LogRecent >= internal::kLogSuspicious &&
-         this->LogShared < internal::kLogSuspicious;
+  return this->LogRecent >= internal::LogSuspicious &&
+         this->LogShared < internal::LogSuspicious;
 }
 
 HarmEvidence errorEvidence(const std::vector<SpanCounts> &Spans,
                            const HarmLimits &Limits, double PlannedSpans) {
   std::vector<internal::EventCounts> Counts;
+  Counts.reserve(Spans.size());
   for (const SpanCounts &Span : Spans)
     Counts.push_back(internal::EventCounts{Span.Old.Calls, Span.Old.Errors,
                                            Span.New.Calls, Span.New.Errors});
-  return internal::weigh(Counts, internal::kErrorAlternatives,
+  return internal::weigh(Counts, internal::ErrorAlternatives,
                          Limits.ToleratedErrors, Limits.ToleratedRatio,
                          PlannedSpans);
 }
@@ -213,7 +214,7 @@
                              const HarmLimits &Limits, double PlannedSpans) {
   const std::vector<internal::EventCounts> Counts =
       internal::slowCalls(Spans, Limits.SlowQuantile);
-  return internal::weigh(Counts, internal::kSlowAlternatives,
+  return internal::weigh(Counts, internal::SlowAlternatives,
                          Limits.ToleratedSlow, Limits.ToleratedRatio,
                          PlannedSpans);
 }
--- a/persimmonquay/move/latency_buckets.cc
+++ b/persimmonquay/move/latency_buckets.cc
@@ -7,18 +7,18 @@
 namespace persimmonquay {
 namespace internal {
 
-constexpr double kFirstBucketMicros = 500.0;
+constexpr double FirstBucketMicros = 500.0;
 
 } // namespace internal
 
 std::size_t latencyBucket(std::chrono::microseconds Latency) {
   const double Ratio =
-      static_cast<double>(Latency.count()) / internal::kFirstBucketMicros;
+      static_cast<double>(Latency.count()) / internal::FirstBucketMicros;
   if (Ratio <= 1.0)
     return 0;
   const auto Bucket =
       static_cast<std::size_t>(std::ceil(2.0 * std::log2(Ratio)));
-  return std::min(Bucket, kLatencyBuckets - 1);
+  return std::min(Bucket, LatencyBuckets - 1);
 }
 
 std::size_t quantileBucket(std::span<const double> Counts, double Fraction) {
@@ -29,7 +29,7 @@
     if (Total > 0.0 && Sum >= Fraction * Total)
       return I;
   }
-  return kLatencyBuckets - 1;
+  return LatencyBuckets - 1;
 }
 
 } // namespace persimmonquay
--- a/persimmonquay/move/move_policy.cc
+++ b/persimmonquay/move/move_policy.cc
@@ -10,19 +10,19 @@
 namespace persimmonquay {
 namespace internal {
 
-constexpr std::size_t kLastStep = kStepShares.size() - 1;
+constexpr std::size_t LastStep = StepShares.size() - 1;
 
 /// Calls of the new version wanted at a step before the next one.
-constexpr double kWantedCalls = 60;
+constexpr double WantedCalls = 60;
 
 /// Part of the time before the bake that is left as a reserve.
-constexpr double kReserve = 0.1;
+constexpr double Reserve = 0.1;
 
 /// Criteria tested for each route: errors and latency.
-constexpr double kCriteria = 2;
+constexpr double Criteria = 2;
 
 double plannedSpans(WallTime Start, WallTime Due) {
-  return static_cast<double>((Due - Start) / kEvidenceSpan + 1);
+  return static_cast<double>((Due - Start) / EvidenceSpan + 1);
 }
 
 } // namespace internal
@@ -52,9 +52,9 @@
   const Millis Ramp =
       this->Settings.Due - this->Settings.Start - this->Settings.Bake;
   const double Usable =
-      static_cast<double>(Ramp.count()) * (1 - internal::kReserve);
+      static_cast<double>(Ramp.count()) * (1 - internal::Reserve);
   return Millis(static_cast<std::int64_t>(
-      Usable / static_cast<double>(internal::kLastStep + 1)));
+      Usable / static_cast<double>(internal::LastStep + 1)));
 }
 
 WallTime MovePolicy::plannedStart(std::size_t Step) const {
@@ -67,8 +67,8 @@
   if (Progress.TakenBack || Now < this->Settings.Start)
     return 0;
   if (Progress.RetreatUntil && Now < *Progress.RetreatUntil)
-    return kStepShares.front();
-  return kStepShares[std::min(Progress.Step, internal::kLastStep)];
+    return StepShares.front();
+  return StepShares[std::min(Progress.Step, internal::LastStep)];
 }
 
 MovePolicy::Judgement MovePolicy::judge(const EvidenceTable &Evidence) const {
@@ -76,7 +76,7 @@
   const double Spans =
       internal::plannedSpans(this->Settings.Start, this->Settings.Due);
   const auto Routes = Evidence.byRoute();
-  const double Tests = internal::kCriteria * std::max<double>(1, Routes.size());
+  const double Tests = internal::Criteria * std::max<double>(1, Routes.size());
   for (const auto &[Route, Counts] : Routes) {
     const HarmEvidence Errors =
         errorEvidence(Counts, this->Settings.Limits, Spans);
@@ -119,7 +119,7 @@
   }
   if (Retreated)
     return {};
-  if (Progress.Step < internal::kLastStep)
+  if (Progress.Step < internal::LastStep)
     return this->decideAdvance(Evidence, Progress, Capacity, Now);
   if (Now >= Progress.StepEnteredAt + this->Settings.Bake)
     return {Kind::Finish, "the bake time has passed without signs of harm", ""};
@@ -135,12 +135,12 @@
   const WallTime Planned = this->plannedStart(Next);
   if (Now < Planned)
     return {};
-  const std::uint64_t Needed = kStepShares[Next] * Capacity.OldSlots;
+  const std::uint64_t Needed = StepShares[Next] * Capacity.OldSlots;
   if (1000 * Capacity.NewSlots < Needed) {
     MoveDecision Hold;
     Hold.Reason = absl::StrFormat(
         "the new version has %d slots, but a share of %d in 1000 needs %d",
-        Capacity.NewSlots, kStepShares[Next], (Needed + 999) / 1000);
+        Capacity.NewSlots, StepShares[Next], (Needed + 999) / 1000);
     if (Now >= Planned + this->stepInterval() / 2)
       Hold.Warning = absl::StrCat("can't finish in time: ", Hold.Reason);
     return Hold;
@@ -149,7 +149,7 @@
   // A quiet service gets half a step of extra time, and then goes on without
   // the wanted number of calls rather than miss its time.
   const bool TimePresses = Now >= Planned + this->stepInterval() / 2;
-  if (Calls < internal::kWantedCalls && !TimePresses)
+  if (Calls < internal::WantedCalls && !TimePresses)
     return {};
   return {Kind::Advance,
           absl::StrFormat("step %d after %.0f calls without signs of harm",
--- a/persimmonquay/move/move_policy.h
+++ b/persimmonquay/move/move_policy.h
@@ -20,11 +20,11 @@
 /// Shares of the new version by step, in parts per thousand. The last step
 /// leaves some calls with the old version until the move is finished, so that
 /// both can still be compared during the bake time.
-inline constexpr std::array<std::uint32_t, 6> kStepShares = {20,  50,  100,
-                                                             250, 500, 900};
+inline constexpr std::array<std::uint32_t, 6> StepShares = {20,  50,  100,
+                                                            250, 500, 900};
 
 /// Time for which one retreat holds.
-inline constexpr Millis kRetreatTime{10000};
+inline constexpr Millis RetreatTime{10000};
 
 /// What all nodes know about the progress of a move; see proto FactKind.
 struct MoveProgress {
--- a/persimmonquay/node/call.cc
+++ b/persimmonquay/node/call.cc
@@ -8,13 +8,13 @@
 namespace persimmonquay {
 namespace internal {
 
-constexpr std::array<std::string_view, 10> kConnectionHeaders = {
+constexpr std::array<std::string_view, 10> ConnectionHeaders = {
     "connection", "keep-alive",       "transfer-encoding",
     "te",         "trailer",          "upgrade",
     "expect",     "proxy-connection", "content-length",
     "host"};
 
-constexpr std::string_view kSystemPrefix = "x-pq-";
+constexpr std::string_view SystemPrefix = "x-pq-";
 
 } // namespace internal
 
@@ -32,10 +32,10 @@
   for (const HeaderField &Field : Headers) {
     const std::string Lower = Poco::toLower(Field.Name);
     const bool OfConnection =
-        std::find(internal::kConnectionHeaders.begin(),
-                  internal::kConnectionHeaders.end(),
-                  Lower) != internal::kConnectionHeaders.end();
-    if (!OfConnection && !Lower.starts_with(internal::kSystemPrefix))
+        std::find(internal::ConnectionHeaders.begin(),
+                  internal::ConnectionHeaders.end(),
+                  Lower) != internal::ConnectionHeaders.end();
+    if (!OfConnection && !Lower.starts_with(internal::SystemPrefix))
       Result.push_back(Field);
   }
   return Result;
--- a/persimmonquay/node/claim_desk.cc
+++ b/persimmonquay/node/claim_desk.cc
@@ -8,7 +8,7 @@
 namespace persimmonquay {
 namespace internal {
 
-constexpr Millis kFlushTimeout{1000};
+constexpr Millis FlushTimeout{1000};
 
 } // namespace internal
 
@@ -16,13 +16,13 @@
     : Node(std::move(Node)), KeyLifetime(KeyLifetime),
       Boot(std::random_device{}() * std::uint64_t{0x100000000} +
            std::random_device{}()) {
-  for (std::size_t I = 0; I < kClaimStreams; ++I)
+  for (std::size_t I = 0; I < ClaimStreams; ++I)
     this->Streams.push_back(std::make_unique<ClaimStream<HttpLogClient>>(
         Log, absl::StrCat("claims-", I)));
 }
 
 ClaimStream<HttpLogClient> &ClaimDesk::streamOf(const std::string &Key) {
-  return *this->Streams[hashBytes(Key) % kClaimStreams];
+  return *this->Streams[hashBytes(Key) % ClaimStreams];
 }
 
 absl::StatusOr<ClaimAnswer> ClaimDesk::claim(const std::string &Key,
@@ -46,7 +46,7 @@
 
 void ClaimDesk::flush(WallTime Now) {
   for (const auto &Stream : this->Streams) {
-    Stream->flush(internal::kFlushTimeout);
+    Stream->flush(internal::FlushTimeout);
     // Twice the lifetime, so that clocks that differ forget nothing in use.
     Stream->forgetCreatedBefore(Now - 2 * this->KeyLifetime);
   }
--- a/persimmonquay/node/claim_desk.h
+++ b/persimmonquay/node/claim_desk.h
@@ -14,7 +14,7 @@
 namespace persimmonquay {
 
 /// Number of claims streams; all nodes must agree on it.
-inline constexpr std::size_t kClaimStreams = 4;
+inline constexpr std::size_t ClaimStreams = 4;
 
 /// Thread-safe. Example:
 ///   ClaimAnswer Answer = Desk.claim(Key, Fingerprint, Deadline, &Attempt);
--- a/persimmonquay/node/egress.cc
+++ b/persimmonquay/node/egress.cc
@@ -15,18 +15,18 @@
 namespace persimmonquay {
 namespace internal {
 
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kConflict = 409;
-constexpr int kUnprocessable = 422;
-constexpr int kServerError = 500;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
+constexpr int BadRequest = 400;
+constexpr int NotFound = 404;
+constexpr int Conflict = 409;
+constexpr int Unprocessable = 422;
+constexpr int ServerError = 500;
+constexpr int BadGateway = 502;
+constexpr int Unavailable = 503;
 
-constexpr std::size_t kMaxTries = 4;
+constexpr std::size_t MaxTries = 4;
 /// Largest answer that is kept for callers that repeat a keyed request.
-constexpr std::size_t kMaxKeptBody = 64 << 10;
-constexpr std::array<std::string_view, 6> kIdempotentMethods = {
+constexpr std::size_t MaxKeptBody = 64 << 10;
+constexpr std::array<std::string_view, 6> IdempotentMethods = {
     "GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE"};
 
 std::mt19937_64 &threadRandom() {
@@ -40,8 +40,8 @@
 
 bool isIdempotent(const std::string &Method, const proto::Route &Route) {
   return Route.idempotent() ||
-         std::find(kIdempotentMethods.begin(), kIdempotentMethods.end(),
-                   Method) != kIdempotentMethods.end();
+         std::find(IdempotentMethods.begin(), IdempotentMethods.end(),
+                   Method) != IdempotentMethods.end();
 }
 
 /// Returns the caller's own limit, or the route's if that is shorter.
@@ -49,7 +49,7 @@
   std::int64_t Asked = 0;
   const Millis Limit(Route.deadline_ms());
   const bool Given =
-      absl::SimpleAtoi(findHeader(Request.Headers, kDeadlineHeader), &Asked);
+      absl::SimpleAtoi(findHeader(Request.Headers, DeadlineHeader), &Asked);
   return Given && Asked >= 0 ? std::min(Limit, Millis(Asked)) : Limit;
 }
 
@@ -131,19 +131,19 @@
   Call.View = this->Needed.Views->current();
   EgressReply Reply;
   if (Call.View->Config == nullptr) {
-    Reply = this->refuse(Outcome::NotRun, internal::kUnavailable,
+    Reply = this->refuse(Outcome::NotRun, internal::Unavailable,
                          "this node has no configuration yet");
   } else {
     Call.Target = Call.View->Config->findRoute(pathOf(Request));
     if (Call.Target == nullptr) {
-      Reply = this->refuse(Outcome::NotRun, internal::kNotFound,
+      Reply = this->refuse(Outcome::NotRun, internal::NotFound,
                            absl::StrCat("no route matches \"",
                                         std::string(pathOf(Request)), "\""));
     } else {
       Call.Deadline =
           monoNow() + internal::limitOf(Request, Call.Target->Route);
       Call.Fingerprint = fingerprintOf(Request);
-      const std::string Key = findHeader(Request.Headers, kKeyHeader);
+      const std::string Key = findHeader(Request.Headers, KeyHeader);
       if (internal::isIdempotent(Request.Method, Call.Target->Route))
         Call.Kind = Repeatability::Idempotent;
       else if (!Key.empty())
@@ -171,21 +171,21 @@
   const auto Claimed = this->Needed.Claims->claim(Key, Call->Fingerprint,
                                                   Call->Deadline, &Attempt);
   if (!Claimed.ok())
-    return this->refuse(Outcome::NotRun, internal::kBadRequest,
+    return this->refuse(Outcome::NotRun, internal::BadRequest,
                         std::string(Claimed.status().message()));
   using Kind = ClaimAnswer::Kind;
   const bool Known =
       Claimed->Answer == Kind::Repeated || Claimed->Answer == Kind::Held;
   if (Known && Claimed->HolderFingerprint != Call->Fingerprint)
-    return this->refuse(Outcome::NotRun, internal::kUnprocessable,
+    return this->refuse(Outcome::NotRun, internal::Unprocessable,
                         absl::StrCat("idempotency key \"", Key,
                                      "\" was used for another request"));
   switch (Claimed->Answer) {
   case Kind::Unavailable:
-    return this->refuse(Outcome::NotRun, internal::kUnavailable,
+    return this->refuse(Outcome::NotRun, internal::Unavailable,
                         Claimed->Detail);
   case Kind::Held:
-    return this->refuse(Outcome::Unknown, internal::kConflict,
+    return this->refuse(Outcome::Unknown, internal::Conflict,
                         "the request was started before and its result is "
                         "not known");
   case Kind::Repeated:
@@ -198,7 +198,7 @@
     this->Needed.Claims->recordLater(
         internal::claimEvent(proto::ClaimEvent::RELEASE, Key, Attempt));
   } else if (Reply.Result == Outcome::Answered &&
-             Reply.Reply.Body.size() <= internal::kMaxKeptBody) {
+             Reply.Reply.Body.size() <= internal::MaxKeptBody) {
     proto::ClaimEvent Event =
         internal::claimEvent(proto::ClaimEvent::RESULT, Key, Attempt);
     Event.set_status(static_cast<std::uint32_t>(Reply.Reply.Status));
@@ -243,7 +243,7 @@
       absl::StrCat("no upstream of service \"", Call->Target->Service.name(),
                    "\" can be reached");
   Outcome Last = Outcome::NotRun;
-  for (std::size_t Try = 0; Try < internal::kMaxTries; ++Try) {
+  for (std::size_t Try = 0; Try < internal::MaxTries; ++Try) {
     const Millis Left = internal::timeLeft(Call->Deadline);
     if (Left <= Millis(0)) {
       Detail = absl::StrCat("the deadline has passed; ", Detail);
@@ -265,7 +265,7 @@
         this->tryOnce(*Call, Chosen.get(), std::max(Limit, Millis(1)));
     const bool FailedAtNew = ToNewVersion && Repeatable &&
                              Reply.End == TryEnd::Answered &&
-                             Reply.Reply.Status >= internal::kServerError;
+                             Reply.Reply.Status >= internal::ServerError;
     Call->Tried.push_back(Chosen->Node);
     Call->OldVersionOnly |= ToNewVersion;
     if (Reply.End == TryEnd::Answered && !(FailedAtNew && Try == 0))
@@ -279,7 +279,7 @@
       break;
   }
   const int Status =
-      Last == Outcome::NotRun ? internal::kUnavailable : internal::kBadGateway;
+      Last == Outcome::NotRun ? internal::Unavailable : internal::BadGateway;
   return this->refuse(Last, Status, Detail);
 }
 
@@ -312,21 +312,21 @@
   Forwarded.Headers = endToEndHeaders(Call.Request->Headers);
   const std::string CallId = absl::StrCat(internal::threadRandom()());
   for (const auto &[Name, Value] :
-       {std::pair<std::string, std::string>(kRouteHeader,
+       {std::pair<std::string, std::string>(RouteHeader,
                                             Call.Target->Route.name()),
-        {kServiceHeader, Call.Target->Service.name()},
-        {kPriorityHeader,
+        {ServiceHeader, Call.Target->Service.name()},
+        {PriorityHeader,
          absl::StrCat(static_cast<int>(Call.Target->Route.priority()))},
-        {kDeadlineHeader, absl::StrCat(Limit.count())},
-        {kFingerprintHeader, hashToHex(Call.Fingerprint)},
-        {kCallHeader, CallId}})
+        {DeadlineHeader, absl::StrCat(Limit.count())},
+        {FingerprintHeader, hashToHex(Call.Fingerprint)},
+        {CallHeader, CallId}})
     Forwarded.Headers.push_back(HeaderField{Name, Value});
   // A little longer than the other node may take, so that its refusal for
   // lack of time arrives and is not mistaken for a lost answer.
-  constexpr Millis kGrace{50};
+  constexpr Millis Grace{50};
   ExchangeResult Result = this->Needed.Pool->exchange(
       this->Needed.Book->reach(Chosen.DataCentre, Chosen.Address),
-      Chosen.IngressPort, Forwarded, Limit + kGrace);
+      Chosen.IngressPort, Forwarded, Limit + Grace);
   IngressReply Reply;
   Reply.Detail = Result.Detail;
   if (Result.Ended == ExchangeResult::End::NothingSent) {
@@ -335,15 +335,15 @@
   }
   const auto &Headers = Result.Reply.Headers;
   const bool Whole = Result.Ended == ExchangeResult::End::Answered &&
-                     findHeader(Headers, kCallHeader) == CallId;
+                     findHeader(Headers, CallHeader) == CallId;
   if (!Whole) {
     Reply.End = TryEnd::AnswerLost;
     return Reply;
   }
-  Reply.End = parseTryEnd(findHeader(Headers, kTryHeader));
+  Reply.End = parseTryEnd(findHeader(Headers, TryHeader));
   if (Reply.End != TryEnd::Answered)
-    Reply.Detail = findHeader(Headers, kDetailHeader);
-  (void)absl::SimpleAtoi(findHeader(Headers, kLoadHeader), &Reply.Load);
+    Reply.Detail = findHeader(Headers, DetailHeader);
+  (void)absl::SimpleAtoi(findHeader(Headers, LoadHeader), &Reply.Load);
   Reply.Reply = std::move(Result.Reply);
   return Reply;
 }
--- a/persimmonquay/node/egress.h
+++ b/persimmonquay/node/egress.h
@@ -93,16 +93,16 @@
 };
 
 /// Headers by which nodes pass a call on to each other.
-inline constexpr char kRouteHeader[] = "x-pq-route";
-inline constexpr char kServiceHeader[] = "x-pq-service";
-inline constexpr char kPriorityHeader[] = "x-pq-priority";
-inline constexpr char kFingerprintHeader[] = "x-pq-fingerprint";
-inline constexpr char kCallHeader[] = "x-pq-call";
-inline constexpr char kLoadHeader[] = "x-pq-load";
-inline constexpr char kTryHeader[] = "x-pq-try";
-inline constexpr char kDetailHeader[] = "x-pq-detail";
-
-/// Returns the value of kTryHeader, and back. An unknown text is AnswerLost.
+inline constexpr char RouteHeader[] = "x-pq-route";
+inline constexpr char ServiceHeader[] = "x-pq-service";
+inline constexpr char PriorityHeader[] = "x-pq-priority";
+inline constexpr char FingerprintHeader[] = "x-pq-fingerprint";
+inline constexpr char CallHeader[] = "x-pq-call";
+inline constexpr char LoadHeader[] = "x-pq-load";
+inline constexpr char TryHeader[] = "x-pq-try";
+inline constexpr char DetailHeader[] = "x-pq-detail";
+
+/// Returns the value of TryHeader, and back. An unknown text is AnswerLost.
 std::string tryEndName(TryEnd End);
 TryEnd parseTryEnd(const std::string &Text);
 
--- a/persimmonquay/node/http_pool.cc
+++ b/persimmonquay/node/http_pool.cc
@@ -17,12 +17,12 @@
 namespace internal {
 
 /// Servers keep idle connections longer than this; see http_server.cc.
-constexpr Millis kMaxIdle{5000};
-constexpr std::size_t kMaxIdlePerPlace = 64;
-constexpr Millis kConnectTimeout{1000};
-constexpr std::size_t kMaxReplyBytes = 16 << 20;
+constexpr Millis MaxIdle{5000};
+constexpr std::size_t MaxIdlePerPlace = 64;
+constexpr Millis ConnectTimeout{1000};
+constexpr std::size_t MaxReplyBytes = 16 << 20;
 /// Longer than any idle time, so that the library never reconnects by itself.
-constexpr long kLibraryKeepAliveSeconds = 3600;
+constexpr long LibraryKeepAliveSeconds = 3600;
 
 using End = ExchangeResult::End;
 using Poco::Net::HTTPClientSession;
@@ -65,8 +65,8 @@
   const auto Length = Response.getContentLength64();
   if (Response.getChunkedTransferEncoding() || Length < 0)
     return "the answer does not state its length";
-  if (static_cast<std::size_t>(Length) > kMaxReplyBytes)
-    return absl::StrCat("the answer is longer than ", kMaxReplyBytes, " bytes");
+  if (static_cast<std::size_t>(Length) > MaxReplyBytes)
+    return absl::StrCat("the answer is longer than ", MaxReplyBytes, " bytes");
   if (!readBody(Stream, static_cast<std::size_t>(Length), Deadline,
                 &Reply->Body))
     return "the answer was cut short";
@@ -77,11 +77,11 @@
                                            std::uint16_t Port, Millis Timeout) {
   Poco::Net::StreamSocket Socket;
   Socket.connect(Poco::Net::SocketAddress(Address, Port),
-                 toPoco(std::min(Timeout, kConnectTimeout)));
+                 toPoco(std::min(Timeout, ConnectTimeout)));
   Socket.setNoDelay(true);
   auto Session = std::make_unique<HTTPClientSession>(Socket);
   Session->setKeepAlive(true);
-  Session->setKeepAliveTimeout(Poco::Timespan(kLibraryKeepAliveSeconds, 0));
+  Session->setKeepAliveTimeout(Poco::Timespan(LibraryKeepAliveSeconds, 0));
   return Session;
 }
 
@@ -154,7 +154,7 @@
   while (!Kept.empty()) {
     IdleSession Newest = std::move(Kept.back());
     Kept.pop_back();
-    const bool Fresh = monoNow() - Newest.Since < internal::kMaxIdle;
+    const bool Fresh = monoNow() - Newest.Since < internal::MaxIdle;
     // An idle connection that can be read was closed by the other side.
     const bool Open = !Newest.Connection->socket().poll(
         Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
@@ -168,7 +168,7 @@
                         std::unique_ptr<Session> Connection) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   std::vector<IdleSession> &Kept = this->Idle[Place];
-  if (Kept.size() < internal::kMaxIdlePerPlace)
+  if (Kept.size() < internal::MaxIdlePerPlace)
     Kept.push_back(IdleSession{std::move(Connection), monoNow()});
 }
 
--- a/persimmonquay/node/http_server.cc
+++ b/persimmonquay/node/http_server.cc
@@ -31,9 +31,9 @@
 using Poco::Net::HTTPServerResponse;
 
 /// Longer than clients of ours keep connections idle; see http_pool.cc.
-constexpr Millis kKeepAliveTimeout{30000};
-constexpr std::size_t kMaxTargetBytes = 8192;
-constexpr Millis kStopPoll{10};
+constexpr Millis KeepAliveTimeout{30000};
+constexpr std::size_t MaxTargetBytes = 8192;
+constexpr Millis StopPoll{10};
 
 /// A request that is refused before the handler sees it.
 struct IntakeError {
@@ -42,9 +42,9 @@
 };
 
 bool isTokenCharacter(char Value) {
-  constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
+  constexpr std::string_view Symbols = "!#$%&'*+-.^_`|~";
   return std::isalnum(static_cast<unsigned char>(Value)) != 0 ||
-         kSymbols.find(Value) != std::string_view::npos;
+         Symbols.find(Value) != std::string_view::npos;
 }
 
 bool isToken(const std::string &Text) {
@@ -60,8 +60,8 @@
 }
 
 bool isNumber(const std::string &Text) {
-  constexpr std::size_t kMaxDigits = 15;
-  return !Text.empty() && Text.size() <= kMaxDigits &&
+  constexpr std::size_t MaxDigits = 15;
+  return !Text.empty() && Text.size() <= MaxDigits &&
          std::all_of(Text.begin(), Text.end(), [](char Value) {
            return std::isdigit(static_cast<unsigned char>(Value)) != 0;
          });
@@ -76,7 +76,7 @@
   if (!Target.starts_with("/") || hasControlCharacter(Target) ||
       Target.find(' ') != std::string::npos)
     return {400, "the request target must be a path that starts with /"};
-  if (Target.size() > kMaxTargetBytes)
+  if (Target.size() > MaxTargetBytes)
     return {414, "the request target is too long"};
   int Lengths = 0;
   for (const auto &[Name, Value] : Request) {
@@ -139,7 +139,7 @@
   Reply.Status = Error.Status;
   Reply.Headers.push_back(HeaderField{"Content-Type", "text/plain"});
   Reply.Headers.push_back(
-      HeaderField{kOutcomeHeader, std::string(outcomeName(Outcome::NotRun))});
+      HeaderField{OutcomeHeader, std::string(outcomeName(Outcome::NotRun))});
   Reply.Body = Error.Detail + "\n";
   return Reply;
 }
@@ -243,16 +243,16 @@
   Parameters->setKeepAlive(true);
   Parameters->setMaxKeepAliveRequests(0);
   Parameters->setKeepAliveTimeout(
-      Poco::Timespan(internal::kKeepAliveTimeout.count() * 1000));
+      Poco::Timespan(internal::KeepAliveTimeout.count() * 1000));
   Parameters->setTimeout(Poco::Timespan(Limits.ReceiveTimeout.count() * 1000));
   try {
-    constexpr int kBacklog = 256;
+    constexpr int Backlog = 256;
     Poco::Net::ServerSocket Socket;
     Socket.bind(Poco::Net::SocketAddress(Address, Port), true);
-    Socket.listen(kBacklog);
-    constexpr int kMinThreads = 2;
+    Socket.listen(Backlog);
+    constexpr int MinThreads = 2;
     Next->Threads = std::make_unique<Poco::ThreadPool>(
-        kMinThreads, static_cast<int>(Limits.MaxThreads));
+        MinThreads, static_cast<int>(Limits.MaxThreads));
     Next->Server = std::make_unique<Poco::Net::HTTPServer>(
         new internal::HandlerFactory(&Next->Context), *Next->Threads, Socket,
         Parameters);
@@ -277,7 +277,7 @@
   this->Impl->Server->stop();
   const MonoTime Deadline = monoNow() + Timeout;
   while (this->Impl->Context.Active > 0 && monoNow() < Deadline)
-    std::this_thread::sleep_for(internal::kStopPoll);
+    std::this_thread::sleep_for(internal::StopPoll);
   this->Impl->Server->stopAll(true);
   this->Impl->Threads->joinAll();
   this->Impl.reset();
--- a/persimmonquay/node/ingress.cc
+++ b/persimmonquay/node/ingress.cc
@@ -12,11 +12,11 @@
 namespace persimmonquay {
 namespace internal {
 
-constexpr std::size_t kDefaultQueueLimit = 64;
-constexpr Millis kProbeTimeout{200};
-constexpr Millis kBlameLifetime = std::chrono::hours(1);
-constexpr int kServerError = 500;
-constexpr std::uint32_t kMaxSlots = 10000;
+constexpr std::size_t DefaultQueueLimit = 64;
+constexpr Millis ProbeTimeout{200};
+constexpr Millis BlameLifetime = std::chrono::hours(1);
+constexpr int ServerError = 500;
+constexpr std::uint32_t MaxSlots = 10000;
 
 /// Gives the slot back at the end of a scope.
 struct SlotReleaser {
@@ -31,15 +31,15 @@
   if (Heard.Address.empty() || Heard.Port == 0)
     return absl::InvalidArgumentError(
         "the announcement lacks \"address\" or \"port\"");
-  if (Heard.Slots == 0 || Heard.Slots > kMaxSlots)
+  if (Heard.Slots == 0 || Heard.Slots > MaxSlots)
     return absl::InvalidArgumentError(absl::StrCat(
-        "\"slots\" is ", Heard.Slots, ", not between 1 and ", kMaxSlots));
+        "\"slots\" is ", Heard.Slots, ", not between 1 and ", MaxSlots));
   return absl::OkStatus();
 }
 
 bool saysNotRun(const CallReply &Reply) {
-  return Reply.Status >= kServerError &&
-         findHeader(Reply.Headers, kOutcomeHeader) ==
+  return Reply.Status >= ServerError &&
+         findHeader(Reply.Headers, OutcomeHeader) ==
              outcomeName(Outcome::NotRun);
 }
 
@@ -56,7 +56,7 @@
 }
 
 absl::Status Ingress::announce(const Announcement &Heard) {
-  const absl::Status Valid = internal::check(Heard);
+  absl::Status Valid = internal::check(Heard);
   if (!Valid.ok())
     return Valid;
   const auto Before = this->known();
@@ -77,7 +77,7 @@
   this->Current = std::move(Next);
   if (!Changed)
     return absl::OkStatus();
-  this->Gate.resize(Heard.Slots, internal::kDefaultQueueLimit);
+  this->Gate.resize(Heard.Slots, internal::DefaultQueueLimit);
   this->Gate.setDraining(Heard.Draining || this->NodeDraining);
   this->tellPeersLocked();
   logLine(LogLevel::Info, "upstream announced",
@@ -214,7 +214,7 @@
   CallRequest Forwarded = Call.Request;
   Forwarded.Headers = endToEndHeaders(Call.Request.Headers);
   Forwarded.Headers.push_back(
-      HeaderField{kDeadlineHeader, absl::StrCat(Call.Remaining.count())});
+      HeaderField{DeadlineHeader, absl::StrCat(Call.Remaining.count())});
   ExchangeResult Result = this->Pool->exchange(
       Known.Last.Address, Known.Last.Port, Forwarded, Call.Remaining);
   IngressReply Reply;
@@ -229,7 +229,7 @@
     const bool Refused = internal::saysNotRun(Result.Reply);
     Reply.End = Refused ? TryEnd::RefusedByUpstream : TryEnd::Answered;
     this->countEvidence(
-        Call, Known, Result.Reply.Status >= internal::kServerError, StartedAt);
+        Call, Known, Result.Reply.Status >= internal::ServerError, StartedAt);
     Reply.Reply = std::move(Result.Reply);
     return Reply;
   }
@@ -239,7 +239,7 @@
   Reply.End = TryEnd::AnswerLost;
   const bool Died = !Result.TimedOut &&
                     !HttpPool::canConnect(Known.Last.Address, Known.Last.Port,
-                                          internal::kProbeTimeout);
+                                          internal::ProbeTimeout);
   // One death is one failure, however many calls ran; the first one counts it.
   const auto Now = this->known();
   const bool AlreadyReported =
@@ -268,7 +268,7 @@
     Fact.set_kind(proto::REQUEST_BLAME);
     Fact.set_key(Key);
     Fact.set_level(this->Group->factLevel(proto::REQUEST_BLAME, Key) + 1);
-    Fact.set_expires_unix_ms(unixMillis(wallNow() + internal::kBlameLifetime));
+    Fact.set_expires_unix_ms(unixMillis(wallNow() + internal::BlameLifetime));
     logLine(LogLevel::Warning, "request blamed for the death of an upstream",
             {{"fingerprint", Key}, {"deaths", absl::StrCat(Fact.level())}});
     this->Group->raiseFact(Fact);
--- a/persimmonquay/node/ingress_api.cc
+++ b/persimmonquay/node/ingress_api.cc
@@ -11,12 +11,12 @@
 namespace persimmonquay {
 namespace internal {
 
-constexpr int kUnavailable = 503;
-constexpr int kHexBase = 16;
+constexpr int Unavailable = 503;
+constexpr int HexBase = 16;
 
 std::uint64_t parseHex(const std::string &Text) {
   std::uint64_t Value = 0;
-  std::from_chars(Text.data(), Text.data() + Text.size(), Value, kHexBase);
+  std::from_chars(Text.data(), Text.data() + Text.size(), Value, HexBase);
   return Value;
 }
 
@@ -28,13 +28,13 @@
 IngressCall parseCall(const CallRequest &Request) {
   IngressCall Call;
   Call.Request = Request;
-  Call.Service = findHeader(Request.Headers, kServiceHeader);
-  Call.Route = findHeader(Request.Headers, kRouteHeader);
+  Call.Service = findHeader(Request.Headers, ServiceHeader);
+  Call.Route = findHeader(Request.Headers, RouteHeader);
   Call.Priority = static_cast<int>(
-      parseNumber(findHeader(Request.Headers, kPriorityHeader)));
+      parseNumber(findHeader(Request.Headers, PriorityHeader)));
   Call.Remaining =
-      Millis(parseNumber(findHeader(Request.Headers, kDeadlineHeader)));
-  Call.Fingerprint = parseHex(findHeader(Request.Headers, kFingerprintHeader));
+      Millis(parseNumber(findHeader(Request.Headers, DeadlineHeader)));
+  Call.Fingerprint = parseHex(findHeader(Request.Headers, FingerprintHeader));
   return Call;
 }
 
@@ -49,13 +49,13 @@
     Reply = std::move(Result.Reply);
     Reply.Headers = endToEndHeaders(Reply.Headers);
   } else {
-    Reply.Status = internal::kUnavailable;
-    Reply.Headers.push_back(HeaderField{kDetailHeader, Result.Detail});
+    Reply.Status = internal::Unavailable;
+    Reply.Headers.push_back(HeaderField{DetailHeader, Result.Detail});
   }
-  Reply.Headers.push_back(HeaderField{kTryHeader, tryEndName(Result.End)});
-  Reply.Headers.push_back(HeaderField{kLoadHeader, absl::StrCat(Result.Load)});
+  Reply.Headers.push_back(HeaderField{TryHeader, tryEndName(Result.End)});
+  Reply.Headers.push_back(HeaderField{LoadHeader, absl::StrCat(Result.Load)});
   Reply.Headers.push_back(
-      HeaderField{kCallHeader, findHeader(Request.Headers, kCallHeader)});
+      HeaderField{CallHeader, findHeader(Request.Headers, CallHeader)});
   return Reply;
 }
 
--- a/persimmonquay/node/ingress_api.h
+++ b/persimmonquay/node/ingress_api.h
@@ -14,8 +14,8 @@
 public:
   explicit IngressApi(Ingress *OwnIngress);
 
-  /// Runs the call; the reply's header kTryHeader tells how the try ended, and
-  /// kCallHeader repeats the call's number.
+  /// Runs the call; the reply's header TryHeader tells how the try ended, and
+  /// CallHeader repeats the call's number.
   CallReply serve(const CallRequest &Request) const;
 
 private:
--- a/persimmonquay/node/log_follower.cc
+++ b/persimmonquay/node/log_follower.cc
@@ -2,7 +2,6 @@
 
 #include "persimmonquay/base/logging.h"
 #include "persimmonquay/config/config_store.h"
-#include "persimmonquay/node/trace_recorder.h"
 #include "persimmonquay/peer/cluster.h"
 #include <absl/strings/str_cat.h>
 #include <algorithm>
@@ -11,25 +10,24 @@
 namespace persimmonquay {
 namespace internal {
 
-constexpr char kReaderDuty[] = "log-reader";
-constexpr char kSnapshotDuty[] = "snapshot-writer";
-constexpr std::size_t kReaders = 2;
-constexpr Millis kLongPoll{2000};
-constexpr Millis kLogTimeout{2000};
-constexpr Millis kIdlePause{200};
-constexpr Millis kErrorPause{500};
+constexpr char ReaderDuty[] = "log-reader";
+constexpr char SnapshotDuty[] = "snapshot-writer";
+constexpr std::size_t Readers = 2;
+constexpr Millis LongPoll{2000};
+constexpr Millis LogTimeout{2000};
+constexpr Millis IdlePause{200};
+constexpr Millis ErrorPause{500};
 /// Time in which peers may make themselves known before a starting node reads
 /// the log itself.
-constexpr Millis kJoinTime{300};
+constexpr Millis JoinTime{300};
 /// Snapshots are written anew after this time, well inside the retention.
-constexpr Millis kSnapshotInterval = std::chrono::minutes(10);
+constexpr Millis SnapshotInterval = std::chrono::minutes(10);
 
 } // namespace internal
 
 LogFollower::LogFollower(HttpLogClient *Log, ConfigStore *Store, Cluster *Group,
-                         std::uint64_t SnapshotEvery, TraceRecorder *Trace)
-    : Log(Log), Store(Store), Group(Group), SnapshotEvery(SnapshotEvery),
-      Trace(Trace) {}
+                         std::uint64_t SnapshotEvery)
+    : Log(Log), Store(Store), Group(Group), SnapshotEvery(SnapshotEvery) {}
 
 LogFollower::~LogFollower() { this->stop(); }
 
@@ -51,21 +49,21 @@
 }
 
 bool LogFollower::hasDuty() const {
-  return this->Group->hasDuty(internal::kReaderDuty, internal::kReaders);
+  return this->Group->hasDuty(internal::ReaderDuty, internal::Readers);
 }
 
 void LogFollower::run() {
-  this->pause(internal::kJoinTime);
+  this->pause(internal::JoinTime);
   while (!this->Stopping) {
     if (!this->hasDuty()) {
-      this->pause(internal::kIdlePause);
+      this->pause(internal::IdlePause);
       continue;
     }
-    const absl::Status Read = this->readOnce(internal::kLongPoll);
+    const absl::Status Read = this->readOnce(internal::LongPoll);
     if (!Read.ok()) {
       logLine(LogLevel::Warning, "the log could not be read",
               {{"error", std::string(Read.message())}});
-      this->pause(internal::kErrorPause);
+      this->pause(internal::ErrorPause);
       continue;
     }
     this->writeSnapshotIfDue(monoNow());
@@ -74,17 +72,16 @@
 
 absl::Status LogFollower::readOnce(Millis Wait) {
   if (this->Store->nextOffset() == 0 && !this->SnapshotTried) {
-    const absl::Status Loaded = this->loadSnapshot();
+    absl::Status Loaded = this->loadSnapshot();
     if (!Loaded.ok())
       return Loaded;
     this->SnapshotTried = true;
   }
   const std::uint64_t From = this->Store->nextOffset();
-  auto Chunk =
-      this->Log->read(kConfigStream, From, Wait, internal::kLogTimeout);
+  auto Chunk = this->Log->read(ConfigStream, From, Wait, internal::LogTimeout);
   this->Reachable = Chunk.ok() || absl::IsOutOfRange(Chunk.status());
   if (absl::IsOutOfRange(Chunk.status())) {
-    const absl::Status Loaded = this->loadSnapshot();
+    absl::Status Loaded = this->loadSnapshot();
     if (!Loaded.ok())
       return Loaded;
     if (this->Store->nextOffset() <= From)
@@ -98,7 +95,7 @@
     return Chunk.status();
   std::uint64_t Offset = Chunk->FirstOffset;
   for (const std::string &Payload : Chunk->Records) {
-    const absl::Status Applied = this->Store->applyRecord(Offset, Payload);
+    absl::Status Applied = this->Store->applyRecord(Offset, Payload);
     if (absl::IsOutOfRange(Applied))
       return Applied;
     ++Offset;
@@ -107,14 +104,14 @@
 }
 
 absl::Status LogFollower::loadSnapshot() {
-  auto Bounds = this->Log->bounds(kSnapshotStream, internal::kLogTimeout);
+  auto Bounds = this->Log->bounds(SnapshotStream, internal::LogTimeout);
   this->Reachable = Bounds.ok();
   if (!Bounds.ok())
     return Bounds.status();
   if (Bounds->EndOffset == Bounds->OldestOffset)
     return absl::OkStatus();
-  auto Chunk = this->Log->read(kSnapshotStream, Bounds->EndOffset - 1,
-                               Millis(0), internal::kLogTimeout);
+  auto Chunk = this->Log->read(SnapshotStream, Bounds->EndOffset - 1, Millis(0),
+                               internal::LogTimeout);
   if (!Chunk.ok())
     return Chunk.status();
   for (const std::string &Payload : Chunk->Records) {
@@ -123,7 +120,7 @@
     if (!Record.ParseFromString(Payload) ||
         !State.ParseFromString(Record.state()))
       return absl::DataLossError("the newest snapshot can't be decoded");
-    const absl::Status Adopted = this->Store->adoptState(State);
+    absl::Status Adopted = this->Store->adoptState(State);
     if (!Adopted.ok())
       return Adopted;
     this->LastSnapshotOffset =
@@ -139,10 +136,10 @@
   const bool Grown =
       State.next_offset() >= this->LastSnapshotOffset + this->SnapshotEvery;
   const bool Old = this->LastSnapshotAt != MonoTime() &&
-                   Now - this->LastSnapshotAt > internal::kSnapshotInterval;
+                   Now - this->LastSnapshotAt > internal::SnapshotInterval;
   if (this->LastSnapshotAt == MonoTime())
     this->LastSnapshotAt = Now;
-  if ((!Grown && !Old) || !this->Group->hasDuty(internal::kSnapshotDuty, 1))
+  if ((!Grown && !Old) || !this->Group->hasDuty(internal::SnapshotDuty, 1))
     return;
   // Another data centre's writer may have been faster.
   if (!Old && this->loadSnapshot().ok() &&
@@ -152,7 +149,7 @@
   Record.set_next_offset(State.next_offset());
   Record.set_state(encodeState(State));
   const auto Offset = this->Log->append(
-      kSnapshotStream, Record.SerializeAsString(), internal::kLogTimeout);
+      SnapshotStream, Record.SerializeAsString(), internal::LogTimeout);
   if (!Offset.ok())
     return;
   this->LastSnapshotOffset = State.next_offset();
@@ -167,8 +164,8 @@
   *Record.mutable_change() = Change;
   const MonoTime Deadline = monoNow() + Timeout;
   const auto Offset =
-      this->Log->append(kConfigStream, Record.SerializeAsString(),
-                        std::min(Timeout, internal::kLogTimeout));
+      this->Log->append(ConfigStream, Record.SerializeAsString(),
+                        std::min(Timeout, internal::LogTimeout));
   if (absl::IsResourceExhausted(Offset.status()))
     return absl::UnavailableError(absl::StrCat(
         "not published: ", std::string(Offset.status().message())));
@@ -192,7 +189,7 @@
   proto::LogRecord Record;
   *Record.mutable_outcome() = Outcome;
   return this->Log
-      ->append(kConfigStream, Record.SerializeAsString(), internal::kLogTimeout)
+      ->append(ConfigStream, Record.SerializeAsString(), internal::LogTimeout)
       .status();
 }
 
--- a/persimmonquay/node/log_follower.h
+++ b/persimmonquay/node/log_follower.h
@@ -17,23 +17,22 @@
 
 class Cluster;
 class ConfigStore;
-class TraceRecorder;
 
 /// Names of the streams on the log.
-inline constexpr char kConfigStream[] = "config";
-inline constexpr char kSnapshotStream[] = "snapshots";
+inline constexpr char ConfigStream[] = "config";
+inline constexpr char SnapshotStream[] = "snapshots";
 
 /// While this node has the duty of a log reader in its data centre, follows the
 /// `config` stream, starting from the newest snapshot, and writes snapshots.
 /// Other nodes get the records from their peers.
 ///
 /// Thread-safe. Example:
-///   LogFollower Follower(&Log, &Store, &Group, SnapshotEvery, &Trace);
+///   LogFollower Follower(&Log, &Store, &Group, SnapshotEvery);
 ///   Follower.start();
 class LogFollower {
 public:
   LogFollower(HttpLogClient *Log, ConfigStore *Store, Cluster *Group,
-              std::uint64_t SnapshotEvery, TraceRecorder *Trace);
+              std::uint64_t SnapshotEvery);
   LogFollower(const LogFollower &) = delete;
   LogFollower &operator=(const LogFollower &) = delete;
   ~LogFollower();
@@ -69,7 +68,6 @@
   ConfigStore *const Store;
   Cluster *const Group;
   const std::uint64_t SnapshotEvery;
-  TraceRecorder *const Trace;
 
   std::mutex PauseMutex;
   std::condition_variable StopWanted;
--- a/persimmonquay/node/move_driver.cc
+++ b/persimmonquay/node/move_driver.cc
@@ -11,14 +11,14 @@
 namespace persimmonquay {
 namespace internal {
 
-constexpr Millis kEvidenceInterval{250};
-constexpr std::int64_t kResentSpans = 2;
+constexpr Millis EvidenceInterval{250};
+constexpr std::int64_t ResentSpans = 2;
 /// Time by which the nodes of a service wait for one another before they write
 /// the same outcome.
-constexpr Millis kWriterStagger{1000};
-constexpr Millis kOutcomeRepeat{3000};
-constexpr Millis kFactLifetime = std::chrono::hours(24);
-constexpr std::size_t kMaxReasonBytes = 190;
+constexpr Millis WriterStagger{1000};
+constexpr Millis OutcomeRepeat{3000};
+constexpr Millis FactLifetime = std::chrono::hours(24);
+constexpr std::size_t MaxReasonBytes = 190;
 
 /// Returns the ready slots of both versions.
 VersionCapacity capacityOf(const RoutingView &View, const proto::Move &Move) {
@@ -119,13 +119,13 @@
   {
     std::lock_guard<std::mutex> Lock(this->Mutex);
     Progress &Known = this->progressLocked(Move);
-    const bool Due = Now - Known.SentAt >= internal::kEvidenceInterval;
+    const bool Due = Now - Known.SentAt >= internal::EvidenceInterval;
     if (!Known.Unsent || (!Due && !Known.Urgent))
       return;
     Known.Unsent = false;
     Known.Urgent = false;
     Known.SentAt = Now;
-    Cells = Known.Evidence.ownCells(Now, internal::kResentSpans);
+    Cells = Known.Evidence.ownCells(Now, internal::ResentSpans);
   }
   for (const proto::EvidenceCell &Cell : Cells)
     this->Trace->record("evidence", Cell, Now);
@@ -144,7 +144,7 @@
     return;
   case Kind::Retreat:
     this->raise(Move, proto::MOVE_RETREAT,
-                static_cast<std::uint64_t>(unixMillis(Now + kRetreatTime)), "");
+                static_cast<std::uint64_t>(unixMillis(Now + RetreatTime)), "");
     return;
   case Kind::TakeBack: {
     std::string Reason = Decision.Reason;
@@ -172,9 +172,9 @@
   Fact.set_kind(Kind);
   Fact.set_key(Move.Move->name());
   Fact.set_level(Level);
-  Fact.set_detail(Detail.substr(0, internal::kMaxReasonBytes));
+  Fact.set_detail(Detail.substr(0, internal::MaxReasonBytes));
   Fact.set_expires_unix_ms(Move.Move->due_unix_ms() +
-                           internal::kFactLifetime.count());
+                           internal::FactLifetime.count());
   logLine(LogLevel::Info, "move decision",
           {{"move", Fact.key()},
            {"kind", proto::FactKind_Name(Kind)},
@@ -197,8 +197,8 @@
   Progress &Known = this->progressLocked(Move.Move->name());
   if (Known.OutcomeWrittenAt == WallTime())
     Known.OutcomeWrittenAt =
-        Now + Rank * internal::kWriterStagger - internal::kOutcomeRepeat;
-  if (Now - Known.OutcomeWrittenAt < internal::kOutcomeRepeat)
+        Now + Rank * internal::WriterStagger - internal::OutcomeRepeat;
+  if (Now - Known.OutcomeWrittenAt < internal::OutcomeRepeat)
     return false;
   Known.OutcomeWrittenAt = Now;
   return true;
--- a/persimmonquay/node/node.cc
+++ b/persimmonquay/node/node.cc
@@ -29,11 +29,11 @@
 namespace persimmonquay {
 namespace internal {
 
-constexpr Millis kDecisionInterval{100};
-constexpr Millis kFlushInterval{10};
+constexpr Millis DecisionInterval{100};
+constexpr Millis FlushInterval{10};
 /// Time for the news of draining to reach the nodes that choose upstreams.
-constexpr Millis kDrainSpread{1000};
-constexpr std::size_t kLocalThreads = 8;
+constexpr Millis DrainSpread{1000};
+constexpr std::size_t LocalThreads = 8;
 
 } // namespace internal
 
@@ -91,7 +91,7 @@
                             this->Moves.merge(Cell);
                           }}),
       Follower(&this->Log, &this->Store, &this->Group,
-               Settings.snapshot_every_records(), &this->Trace),
+               Settings.snapshot_every_records()),
       Moves(
           Settings.node(), std::uint64_t{std::random_device{}()}, &this->Group,
           &this->Views,
@@ -146,13 +146,13 @@
   this->Follower.start();
   this->Threads.emplace_back([this] { this->viewLoop(); });
   this->Threads.emplace_back([this] {
-    this->runEvery(internal::kDecisionInterval, [this] {
+    this->runEvery(internal::DecisionInterval, [this] {
       this->Moves.tick(wallNow());
       this->Inner.checkLease(monoNow());
     });
   });
   this->Threads.emplace_back([this] {
-    this->runEvery(internal::kFlushInterval,
+    this->runEvery(internal::FlushInterval,
                    [this] { this->Claims.flush(wallNow()); });
   });
   logLine(LogLevel::Info, "node started",
@@ -182,7 +182,7 @@
   if (Status.ok())
     Status =
         this->Operators.start(Address, Port(this->Settings.operator_port()));
-  Limits.MaxThreads = internal::kLocalThreads;
+  Limits.MaxThreads = internal::LocalThreads;
   if (Status.ok())
     Status = this->LocalPort.start(Address, Port(this->Settings.local_port()),
                                    Limits, [this](const CallRequest &Request) {
@@ -196,7 +196,7 @@
   CallReply Result = std::move(Reply.Reply);
   Result.Headers = endToEndHeaders(Result.Headers);
   Result.Headers.push_back(
-      HeaderField{kOutcomeHeader, std::string(outcomeName(Reply.Result))});
+      HeaderField{OutcomeHeader, std::string(outcomeName(Reply.Result))});
   return Result;
 }
 
@@ -239,7 +239,7 @@
   };
   this->Inner.drain();
   this->CallerPort.closeAfterAnswers();
-  std::this_thread::sleep_for(std::min(internal::kDrainSpread, Left()));
+  std::this_thread::sleep_for(std::min(internal::DrainSpread, Left()));
   this->CallerPort.stop(Left());
   this->Inner.waitUntilIdle(Left());
   this->IngressPort.stop(Left());
--- a/persimmonquay/node/operator_server.cc
+++ b/persimmonquay/node/operator_server.cc
@@ -18,10 +18,10 @@
 namespace persimmonquay {
 namespace internal {
 
-constexpr Millis kPublishTimeout{10000};
-constexpr Millis kWatchPoll{200};
-constexpr int kMaxServerThreads = 8;
-constexpr std::chrono::seconds kStopTime{1};
+constexpr Millis PublishTimeout{10000};
+constexpr Millis WatchPoll{200};
+constexpr int MaxServerThreads = 8;
+constexpr std::chrono::seconds StopTime{1};
 
 grpc::Status toGrpc(const absl::Status &Status) {
   return grpc::Status(static_cast<grpc::StatusCode>(Status.code()),
@@ -55,7 +55,7 @@
     bool First = true;
     while (!Context->IsCancelled() && !this->Stopping) {
       if (!First &&
-          !this->Needed.Store->waitForNewer(Sent, internal::kWatchPoll))
+          !this->Needed.Store->waitForNewer(Sent, internal::WatchPoll))
         continue;
       First = false;
       const proto::ConfigurationState State = this->Needed.Store->state();
@@ -96,7 +96,7 @@
       if (Status->state() != proto::ACTIVE)
         return grpc::Status::OK;
       this->Needed.Store->waitForNewer(this->Needed.Store->nextOffset(),
-                                       internal::kWatchPoll);
+                                       internal::WatchPoll);
     }
     return grpc::Status::OK;
   }
@@ -161,7 +161,7 @@
     return grpc::Status::OK;
   }
   const auto Verdict =
-      this->Needed.Follower->publish(Change, internal::kPublishTimeout);
+      this->Needed.Follower->publish(Change, internal::PublishTimeout);
   if (!Verdict.ok())
     return internal::toGrpc(Verdict.status());
   Reply->set_accepted(Verdict->accepted());
@@ -183,7 +183,7 @@
   Outcome.set_reason(Request.reason());
   Outcome.set_written_unix_ms(unixMillis(wallNow()));
   const absl::Status Appended = this->Needed.Follower->appendOutcome(Outcome);
-  const MonoTime Deadline = monoNow() + internal::kPublishTimeout;
+  const MonoTime Deadline = monoNow() + internal::PublishTimeout;
   while (monoNow() < Deadline) {
     const std::uint64_t Seen = this->Needed.Store->nextOffset();
     const auto Status = this->statusOf(Request.move());
@@ -196,7 +196,7 @@
                                        proto::MoveState_Name(Status->state())));
       return grpc::Status::OK;
     }
-    this->Needed.Store->waitForNewer(Seen, internal::kWatchPoll);
+    this->Needed.Store->waitForNewer(Seen, internal::WatchPoll);
   }
   if (!Appended.ok())
     return internal::toGrpc(Appended);
@@ -232,7 +232,7 @@
   const std::string Place = absl::StrCat(Address, ":", Port);
   int BoundPort = 0;
   grpc::ResourceQuota Quota("operators");
-  Quota.SetMaxThreads(internal::kMaxServerThreads);
+  Quota.SetMaxThreads(internal::MaxServerThreads);
   grpc::ServerBuilder Builder;
   Builder.SetResourceQuota(Quota);
   Builder.SetSyncServerOption(grpc::ServerBuilder::NUM_CQS, 1);
@@ -253,8 +253,7 @@
   this->Stopping = true;
   if (this->Server == nullptr)
     return;
-  this->Server->Shutdown(std::chrono::system_clock::now() +
-                         internal::kStopTime);
+  this->Server->Shutdown(std::chrono::system_clock::now() + internal::StopTime);
   this->Server.reset();
 }
 
--- a/persimmonquay/node/settings.cc
+++ b/persimmonquay/node/settings.cc
@@ -15,31 +15,31 @@
 namespace persimmonquay {
 namespace internal {
 
-constexpr std::uint32_t kDefaultProbeIntervalMs = 1000;
-constexpr std::uint32_t kDefaultSuspicionMs = 3000;
-constexpr std::uint32_t kDefaultAnnouncementLeaseMs = 3000;
-constexpr std::uint32_t kDefaultMaxBodyBytes = 1 << 20;
-constexpr std::uint32_t kDefaultSnapshotEveryRecords = 200;
-constexpr std::uint32_t kDefaultKeyLifetimeS = 24 * 3600;
-constexpr std::uint32_t kDefaultCallerThreads = 128;
-constexpr std::uint32_t kMaxPort = 65535;
-constexpr std::uint32_t kMinIntervalMs = 50;
+constexpr std::uint32_t DefaultProbeIntervalMs = 1000;
+constexpr std::uint32_t DefaultSuspicionMs = 3000;
+constexpr std::uint32_t DefaultAnnouncementLeaseMs = 3000;
+constexpr std::uint32_t DefaultMaxBodyBytes = 1 << 20;
+constexpr std::uint32_t DefaultSnapshotEveryRecords = 200;
+constexpr std::uint32_t DefaultKeyLifetimeS = 24 * 3600;
+constexpr std::uint32_t DefaultCallerThreads = 128;
+constexpr std::uint32_t MaxPort = 65535;
+constexpr std::uint32_t MinIntervalMs = 50;
 
 void fillDefaults(proto::NodeSettings *Settings) {
   if (Settings->probe_interval_ms() == 0)
-    Settings->set_probe_interval_ms(kDefaultProbeIntervalMs);
+    Settings->set_probe_interval_ms(DefaultProbeIntervalMs);
   if (Settings->suspicion_ms() == 0)
-    Settings->set_suspicion_ms(kDefaultSuspicionMs);
+    Settings->set_suspicion_ms(DefaultSuspicionMs);
   if (Settings->announcement_lease_ms() == 0)
-    Settings->set_announcement_lease_ms(kDefaultAnnouncementLeaseMs);
+    Settings->set_announcement_lease_ms(DefaultAnnouncementLeaseMs);
   if (Settings->max_body_bytes() == 0)
-    Settings->set_max_body_bytes(kDefaultMaxBodyBytes);
+    Settings->set_max_body_bytes(DefaultMaxBodyBytes);
   if (Settings->snapshot_every_records() == 0)
-    Settings->set_snapshot_every_records(kDefaultSnapshotEveryRecords);
+    Settings->set_snapshot_every_records(DefaultSnapshotEveryRecords);
   if (Settings->key_lifetime_s() == 0)
-    Settings->set_key_lifetime_s(kDefaultKeyLifetimeS);
+    Settings->set_key_lifetime_s(DefaultKeyLifetimeS);
   if (Settings->caller_threads() == 0)
-    Settings->set_caller_threads(kDefaultCallerThreads);
+    Settings->set_caller_threads(DefaultCallerThreads);
   if (Settings->log_level().empty())
     Settings->set_log_level("info");
 }
@@ -99,9 +99,9 @@
         {"local_port", Settings.local_port()},
         {"peer_port", Settings.peer_port()},
         {"operator_port", Settings.operator_port()}}) {
-    Found->require(Port >= 1 && Port <= kMaxPort,
+    Found->require(Port >= 1 && Port <= MaxPort,
                    absl::StrCat("\"", Name, "\" is ", Port,
-                                ", not between 1 and ", kMaxPort));
+                                ", not between 1 and ", MaxPort));
     const auto [Owner, Inserted] = Owners.emplace(Port, Name);
     Found->require(Inserted, absl::StrCat("\"", Owner->second, "\" and \"",
                                           Name, "\" are both ", Port));
@@ -114,10 +114,10 @@
                                               Settings.probe_interval_ms()),
         {"suspicion_ms", Settings.suspicion_ms()},
         {"announcement_lease_ms", Settings.announcement_lease_ms()}})
-    Found->require(Value >= kMinIntervalMs,
+    Found->require(Value >= MinIntervalMs,
                    absl::StrCat("\"", Name, "\" is ", Value,
                                 " ms, less than the least value of ",
-                                kMinIntervalMs, " ms"));
+                                MinIntervalMs, " ms"));
 }
 
 } // namespace internal
@@ -125,7 +125,7 @@
 absl::Status readSettings(std::string_view Text, std::string_view FileName,
                           proto::NodeSettings *Settings) {
   proto::NodeSettings Parsed;
-  const absl::Status Read = readCheckedJson(Text, FileName, &Parsed);
+  absl::Status Read = readCheckedJson(Text, FileName, &Parsed);
   if (!Read.ok())
     return Read;
   internal::fillDefaults(&Parsed);
@@ -147,7 +147,7 @@
   LogLevel Level = LogLevel::Info;
   const absl::Status LevelKnown = parseLogLevel(Parsed.log_level(), &Level);
   Found.require(LevelKnown.ok(), std::string(LevelKnown.message()));
-  const absl::Status Checked = Found.status();
+  absl::Status Checked = Found.status();
   if (Checked.ok())
     *Settings = Parsed;
   return Checked;
--- a/persimmonquay/peer/cluster.cc
+++ b/persimmonquay/peer/cluster.cc
@@ -26,24 +26,24 @@
 namespace persimmonquay {
 namespace internal {
 
-constexpr Millis kTick{50};
-constexpr Millis kReceiveTimeout{200};
-constexpr Millis kSyncTimeout{3000};
+constexpr Millis Tick{50};
+constexpr Millis ReceiveTimeout{200};
+constexpr Millis SyncTimeout{3000};
 /// Shortest time between two syncs that only members or facts call for.
-constexpr Millis kAntiEntropyInterval{1000};
-constexpr Millis kSeedInterval{1000};
-constexpr Millis kSeedIntervalWhenJoined{10000};
-constexpr Millis kDeadProbeInterval{5000};
-constexpr Millis kForgetDeadAfter = std::chrono::hours(1);
+constexpr Millis AntiEntropyInterval{1000};
+constexpr Millis SeedInterval{1000};
+constexpr Millis SeedIntervalWhenJoined{10000};
+constexpr Millis DeadProbeInterval{5000};
+constexpr Millis ForgetDeadAfter = std::chrono::hours(1);
 /// Peers told at once about a new configuration, and told again a little later.
-constexpr std::size_t kPushFanout = 5;
-constexpr std::size_t kSecondPushFanout = 3;
-constexpr Millis kSecondPushDelay{200};
+constexpr std::size_t PushFanout = 5;
+constexpr std::size_t SecondPushFanout = 3;
+constexpr Millis SecondPushDelay{200};
 /// Nodes of a data centre that exchange digests with each other data centre.
-constexpr std::size_t kRelays = 2;
-constexpr std::size_t kSyncRecordBytes = 256 << 10;
-constexpr std::size_t kMaxEvidencePerDatagram = 8;
-constexpr std::size_t kUdpOverheadBytes = 28;
+constexpr std::size_t Relays = 2;
+constexpr std::size_t SyncRecordBytes = 256 << 10;
+constexpr std::size_t MaxEvidencePerDatagram = 8;
+constexpr std::size_t UdpOverheadBytes = 28;
 
 /// Where a datagram goes.
 struct PeerAddress {
@@ -176,12 +176,12 @@
     this->Socket.bind(Poco::Net::SocketAddress(this->Settings.address(), Port),
                       false);
     this->Socket.setReceiveTimeout(
-        Poco::Timespan(internal::kReceiveTimeout.count() * 1000));
+        Poco::Timespan(internal::ReceiveTimeout.count() * 1000));
   } catch (const Poco::Exception &Error) {
     return absl::UnavailableError(
         absl::StrCat("peer_port ", Port, " (UDP): ", Error.displayText()));
   }
-  const absl::Status Listening = this->Server.start(
+  absl::Status Listening = this->Server.start(
       this->Settings.address(), Port,
       [this](const std::string &Bytes) { return this->answerSync(Bytes); });
   if (!Listening.ok())
@@ -202,7 +202,7 @@
     this->Members.updateSelf(Leaving, monoNow());
     this->Queue.addMember(this->Members.self());
   }
-  this->pingNodes(this->pushTargets(internal::kPushFanout));
+  this->pingNodes(this->pushTargets(internal::PushFanout));
   this->Stopping = true;
   this->TickWanted.notify_all();
   this->SyncWanted.notify_all();
@@ -218,7 +218,7 @@
     this->Members.updateSelf(Facts, monoNow());
     this->Queue.addMember(this->Members.self());
   }
-  this->pingNodes(this->pushTargets(internal::kPushFanout));
+  this->pingNodes(this->pushTargets(internal::PushFanout));
   this->notify(true, false);
 }
 
@@ -229,7 +229,7 @@
       return;
     this->Queue.addFact(Fact);
   }
-  this->pingNodes(this->pushTargets(internal::kPushFanout));
+  this->pingNodes(this->pushTargets(internal::PushFanout));
   this->notify(false, true);
 }
 
@@ -237,10 +237,10 @@
     const std::vector<proto::EvidenceCell> &Cells,
     const std::vector<std::string> &Nodes) {
   for (std::size_t First = 0; First < Cells.size();
-       First += internal::kMaxEvidencePerDatagram) {
+       First += internal::MaxEvidencePerDatagram) {
     proto::Datagram Message;
     const std::size_t End =
-        std::min(Cells.size(), First + internal::kMaxEvidencePerDatagram);
+        std::min(Cells.size(), First + internal::MaxEvidencePerDatagram);
     for (std::size_t I = First; I < End; ++I)
       *Message.add_evidence() = Cells[I];
     for (const std::string &Node : Nodes)
@@ -280,7 +280,7 @@
     return;
   }
   ++this->DatagramsSent;
-  this->BytesSent += Bytes.size() + internal::kUdpOverheadBytes;
+  this->BytesSent += Bytes.size() + internal::UdpOverheadBytes;
 }
 
 void Cluster::Implementation::ping(const Address &To, std::uint64_t Sequence) {
@@ -315,12 +315,12 @@
     std::lock_guard<std::mutex> Lock(this->Mutex);
     for (const std::string &Other : this->Members.dataCentres())
       if (Other != this->Settings.data_centre() &&
-          this->Members.hasDuty(absl::StrCat("relay ", Other),
-                                internal::kRelays, this->Members.self().node()))
+          this->Members.hasDuty(absl::StrCat("relay ", Other), internal::Relays,
+                                this->Members.self().node()))
         Others.push_back(Other);
   }
   for (const std::string &Other : Others)
-    for (std::string &Node : this->randomLiveNodes(Other, internal::kRelays))
+    for (std::string &Node : this->randomLiveNodes(Other, internal::Relays))
       Targets.push_back(std::move(Node));
   return Targets;
 }
@@ -353,7 +353,7 @@
   while (!this->Stopping) {
     this->tick();
     std::unique_lock<std::mutex> Lock(this->TickMutex);
-    this->TickWanted.wait_for(Lock, internal::kTick, [this] {
+    this->TickWanted.wait_for(Lock, internal::Tick, [this] {
       return this->Stopping || this->PushWanted;
     });
   }
@@ -366,9 +366,9 @@
   {
     std::lock_guard<std::mutex> Lock(this->Mutex);
     Actions = this->Detector.tick(Now, this->Random, &this->Members);
-    if (Now - this->LastForget > internal::kForgetDeadAfter / 60) {
+    if (Now - this->LastForget > internal::ForgetDeadAfter / 60) {
       this->LastForget = Now;
-      this->Members.forgetOlderThan(internal::kForgetDeadAfter, Now);
+      this->Members.forgetOlderThan(internal::ForgetDeadAfter, Now);
       this->Facts.dropExpired(wallNow());
       this->Relayed.clear();
     }
@@ -412,15 +412,15 @@
   const bool Joined = this->query(
       [](const auto &Table, const auto &) { return Table.all().size() > 1; });
   const Millis Interval =
-      Joined ? internal::kSeedIntervalWhenJoined : internal::kSeedInterval;
+      Joined ? internal::SeedIntervalWhenJoined : internal::SeedInterval;
   if (this->Settings.seeds().empty() || Now - this->LastSeedProbe < Interval)
     return;
   this->LastSeedProbe = Now;
   std::vector<std::string> Seeds(this->Settings.seeds().begin(),
                                  this->Settings.seeds().end());
   std::shuffle(Seeds.begin(), Seeds.end(), this->Random);
-  constexpr std::size_t kSeedsAtOnce = 3;
-  Seeds.resize(std::min(Seeds.size(), Joined ? 1 : kSeedsAtOnce));
+  constexpr std::size_t SeedsAtOnce = 3;
+  Seeds.resize(std::min(Seeds.size(), Joined ? 1 : SeedsAtOnce));
   for (const std::string &Seed : Seeds) {
     const Poco::Net::SocketAddress Parsed(Seed);
     this->ping(Address{Parsed.host().toString(), Parsed.port()}, 0);
@@ -433,7 +433,7 @@
     // Only targets in other data centres; the own one is probed anyway.
     this->pingNodes(this->pushTargets(0));
   }
-  if (Now - this->LastDeadProbe < internal::kDeadProbeInterval)
+  if (Now - this->LastDeadProbe < internal::DeadProbeInterval)
     return;
   this->LastDeadProbe = Now;
   std::vector<std::string> Dead;
@@ -451,18 +451,18 @@
 
 void Cluster::Implementation::pushConfigIfDue(MonoTime Now) {
   if (this->PushWanted.exchange(false)) {
-    this->SecondPushAt = Now + internal::kSecondPushDelay;
-    this->pingNodes(this->pushTargets(internal::kPushFanout));
+    this->SecondPushAt = Now + internal::SecondPushDelay;
+    this->pingNodes(this->pushTargets(internal::PushFanout));
   } else if (this->SecondPushAt && Now >= *this->SecondPushAt) {
     this->SecondPushAt.reset();
-    this->pingNodes(this->pushTargets(internal::kSecondPushFanout));
+    this->pingNodes(this->pushTargets(internal::SecondPushFanout));
   }
 }
 
 // Receiving.
 
 void Cluster::Implementation::receiveLoop() {
-  std::vector<char> Buffer(2 * kMaxDatagramBytes);
+  std::vector<char> Buffer(2 * MaxDatagramBytes);
   while (!this->Stopping) {
     try {
       Poco::Net::SocketAddress From;
@@ -471,7 +471,7 @@
       if (Size <= 0)
         continue;
       this->BytesReceived +=
-          static_cast<std::size_t>(Size) + internal::kUdpOverheadBytes;
+          static_cast<std::size_t>(Size) + internal::UdpOverheadBytes;
       proto::Datagram Message;
       if (Message.ParseFromArray(Buffer.data(), Size))
         this->handle(Message);
@@ -494,7 +494,7 @@
   this->notify(MembersNew, FactsNew);
   if (FactsNew)
     this->pingNodes(this->randomLiveNodes(this->Settings.data_centre(),
-                                          internal::kSecondPushFanout));
+                                          internal::SecondPushFanout));
   this->answer(Message);
   this->considerSync(Message);
 }
@@ -577,7 +577,7 @@
   const MonoTime Now = monoNow();
   if (!Urgent) {
     if (this->SyncPeer ||
-        Now - this->LastAntiEntropy < internal::kAntiEntropyInterval)
+        Now - this->LastAntiEntropy < internal::AntiEntropyInterval)
       return;
     this->LastAntiEntropy = Now;
   }
@@ -590,7 +590,7 @@
     Address Peer;
     {
       std::unique_lock<std::mutex> Lock(this->Mutex);
-      this->SyncWanted.wait_for(Lock, internal::kReceiveTimeout, [this] {
+      this->SyncWanted.wait_for(Lock, internal::ReceiveTimeout, [this] {
         return this->Stopping || this->SyncPeer.has_value();
       });
       if (!this->SyncPeer)
@@ -616,7 +616,7 @@
   ++this->Syncs;
   this->BytesSent += Bytes.size();
   const auto Answer =
-      requestSync(Peer.Address, Peer.Port, Bytes, internal::kSyncTimeout);
+      requestSync(Peer.Address, Peer.Port, Bytes, internal::SyncTimeout);
   if (!Answer.ok()) {
     logLine(LogLevel::Debug, "sync failed",
             {{"peer", Peer.Address},
@@ -661,14 +661,14 @@
   if (!Request.ParseFromString(Bytes))
     return Reply.SerializeAsString();
   this->BytesReceived += Bytes.size();
-  this->Store->fillSync(Request.config_next_offset(),
-                        internal::kSyncRecordBytes, &Reply);
+  this->Store->fillSync(Request.config_next_offset(), internal::SyncRecordBytes,
+                        &Reply);
   {
     std::lock_guard<std::mutex> Lock(this->Mutex);
     MemberBuckets Theirs{};
     const bool WithMembers =
-        Request.member_buckets_size() == static_cast<int>(kMemberBuckets);
-    for (std::size_t I = 0; WithMembers && I < kMemberBuckets; ++I)
+        Request.member_buckets_size() == static_cast<int>(MemberBucketCount);
+    for (std::size_t I = 0; WithMembers && I < MemberBucketCount; ++I)
       Theirs[I] = Request.member_buckets(static_cast<int>(I));
     if (WithMembers)
       for (proto::Member &Member :
--- a/persimmonquay/peer/sync_channel.cc
+++ b/persimmonquay/peer/sync_channel.cc
@@ -60,7 +60,7 @@
   int Error = nng_rep0_open(&Opened->Handle);
   if (Error == 0)
     Error =
-        nng_socket_set_size(Opened->Handle, NNG_OPT_RECVMAXSZ, kMaxSyncBytes);
+        nng_socket_set_size(Opened->Handle, NNG_OPT_RECVMAXSZ, MaxSyncBytes);
   if (Error == 0)
     Error = nng_listen(Opened->Handle, Url.c_str(), nullptr, 0);
   if (Error != 0)
@@ -100,7 +100,7 @@
   const auto Limit = static_cast<nng_duration>(Timeout.count());
   nng_socket_set_ms(Socket, NNG_OPT_SENDTIMEO, Limit);
   nng_socket_set_ms(Socket, NNG_OPT_RECVTIMEO, Limit);
-  nng_socket_set_size(Socket, NNG_OPT_RECVMAXSZ, kMaxSyncBytes);
+  nng_socket_set_size(Socket, NNG_OPT_RECVMAXSZ, MaxSyncBytes);
   Error = nng_dial(Socket, Url.c_str(), nullptr, NNG_FLAG_NONBLOCK);
   if (Error == 0)
     Error = internal::send(Socket, Request);
--- a/persimmonquay/peer/sync_channel.h
+++ b/persimmonquay/peer/sync_channel.h
@@ -14,7 +14,7 @@
 namespace persimmonquay {
 
 /// Largest message that is sent or accepted.
-inline constexpr std::size_t kMaxSyncBytes = 16 << 20;
+inline constexpr std::size_t MaxSyncBytes = 16 << 20;
 
 /// Answers requests one after another on a thread of its own, which bounds the
 /// work that a herd of starting nodes can cause.
--- a/persimmonquay/routing/claim_ledger.cc
+++ b/persimmonquay/routing/claim_ledger.cc
@@ -6,8 +6,8 @@
 namespace persimmonquay {
 namespace internal {
 
-constexpr std::size_t kMaxKeyBytes = 128;
-constexpr Millis kMaxClockSkew = std::chrono::minutes(1);
+constexpr std::size_t MaxKeyBytes = 128;
+constexpr Millis MaxClockSkew = std::chrono::minutes(1);
 
 } // namespace internal
 
@@ -52,13 +52,12 @@
   const char *End = Key.data() + Key.size();
   const auto [Rest, Error] = std::from_chars(Key.data(), End, UnixMs);
   const bool Valid = Error == std::errc() && UnixMs > 0 && Rest + 1 < End &&
-                     *Rest == '-' && Key.size() <= internal::kMaxKeyBytes;
+                     *Rest == '-' && Key.size() <= internal::MaxKeyBytes;
   if (!Valid)
     return absl::InvalidArgumentError(absl::StrCat(
-        "idempotency key \"",
-        std::string(Key.substr(0, internal::kMaxKeyBytes)),
+        "idempotency key \"", std::string(Key.substr(0, internal::MaxKeyBytes)),
         "\" is not of the form <Unix milliseconds>-<unique text>, at most ",
-        internal::kMaxKeyBytes, " characters"));
+        internal::MaxKeyBytes, " characters"));
   *CreatedAt = wallTimeFromUnixMillis(UnixMs);
   return absl::OkStatus();
 }
@@ -68,7 +67,7 @@
     return absl::FailedPreconditionError(absl::StrCat(
         "the idempotency key is older than ",
         Lifetime / std::chrono::seconds(1), " s, for which claims are kept"));
-  if (CreatedAt > Now + internal::kMaxClockSkew)
+  if (CreatedAt > Now + internal::MaxClockSkew)
     return absl::FailedPreconditionError(
         "the idempotency key was created in the future");
   return absl::OkStatus();
--- a/persimmonquay/routing/claim_stream.h
+++ b/persimmonquay/routing/claim_stream.h
@@ -121,9 +121,9 @@
   }
 
 private:
-  static constexpr Millis kAppendTimeout{2000};
-  static constexpr Millis kReadTimeout{2000};
-  static constexpr Millis kReadWait{200};
+  static constexpr Millis AppendTimeout{2000};
+  static constexpr Millis ReadTimeout{2000};
+  static constexpr Millis ReadWait{200};
 
   /// Claims that travel in one append.
   struct Batch {
@@ -164,7 +164,7 @@
     this->Appending = true;
     Lock->unlock();
     auto Offset = this->Client->append(
-        this->Name, Sent->Content.SerializeAsString(), kAppendTimeout);
+        this->Name, Sent->Content.SerializeAsString(), AppendTimeout);
     Lock->lock();
     Sent->Offset = std::move(Offset);
     Sent->Done = true;
@@ -177,7 +177,7 @@
     while (this->NextOffset <= Target) {
       if (monoNow() >= Deadline)
         return absl::DeadlineExceededError("the log could not be read in time");
-      const absl::Status Read = this->readLocked(Millis(0));
+      absl::Status Read = this->readLocked(Millis(0));
       if (!Read.ok())
         return Read;
     }
@@ -188,15 +188,15 @@
   absl::Status readMore(MonoTime Deadline) {
     std::lock_guard<std::mutex> Lock(this->ReadMutex);
     const auto Left = std::chrono::duration_cast<Millis>(Deadline - monoNow());
-    return this->readLocked(std::clamp(Left, Millis(0), kReadWait));
+    return this->readLocked(std::clamp(Left, Millis(0), ReadWait));
   }
 
   absl::Status readLocked(Millis Wait) {
     auto Chunk =
-        this->Client->read(this->Name, this->NextOffset, Wait, kReadTimeout);
+        this->Client->read(this->Name, this->NextOffset, Wait, ReadTimeout);
     if (absl::IsOutOfRange(Chunk.status())) {
       // What has expired is older than any key that is still accepted.
-      auto Bounds = this->Client->bounds(this->Name, kReadTimeout);
+      auto Bounds = this->Client->bounds(this->Name, ReadTimeout);
       if (!Bounds.ok())
         return Bounds.status();
       this->NextOffset = Bounds->OldestOffset;
--- a/persimmonquay/routing/crash_blame.cc
+++ b/persimmonquay/routing/crash_blame.cc
@@ -5,7 +5,7 @@
 CrashBlame::Start CrashBlame::start(std::uint64_t Fingerprint,
                                     std::uint64_t Deaths) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
-  if (Deaths >= kDeathsToCondemn)
+  if (Deaths >= DeathsToCondemn)
     return Start::Refuse;
   const bool Suspect = Deaths > 0;
   if (Suspect && this->SuspectRuns)
--- a/persimmonquay/routing/crash_blame.h
+++ b/persimmonquay/routing/crash_blame.h
@@ -12,7 +12,7 @@
 namespace persimmonquay {
 
 /// Deaths after which a request is refused everywhere.
-inline constexpr std::uint64_t kDeathsToCondemn = 2;
+inline constexpr std::uint64_t DeathsToCondemn = 2;
 
 /// Watches which requests run at one upstream. All requests that ran when the
 /// upstream died become suspects, by fingerprint. A suspect then runs beside no
--- a/persimmonquay/routing/endpoint_table.cc
+++ b/persimmonquay/routing/endpoint_table.cc
@@ -7,12 +7,12 @@
 namespace persimmonquay {
 namespace internal {
 
-constexpr std::uint32_t kFailuresBeforeAvoiding = 2;
-constexpr Millis kFirstAvoidance{500};
-constexpr std::uint32_t kMaxDoublings = 5;
+constexpr std::uint32_t FailuresBeforeAvoiding = 2;
+constexpr Millis FirstAvoidance{500};
+constexpr std::uint32_t MaxDoublings = 5;
 
 /// Smallest part of its share that an upstream in its cold start gets.
-constexpr double kColdStartFloor = 0.1;
+constexpr double ColdStartFloor = 0.1;
 
 using List = EndpointTable::List;
 
@@ -54,7 +54,7 @@
   double Warmth = 1.0;
   const Millis Age = Wish.Now - Candidate.AnnouncedAt;
   if (Age < Wish.ColdStart && Wish.ColdStart > Millis(0))
-    Warmth = std::max(kColdStartFloor,
+    Warmth = std::max(ColdStartFloor,
                       static_cast<double>(Age.count()) /
                           static_cast<double>(Wish.ColdStart.count()));
   return (Load + 1.0) / (Warmth * std::max(1U, Candidate.Slots));
@@ -77,11 +77,11 @@
 void Endpoint::noteFailure(WallTime Now) {
   const std::uint32_t Failures =
       this->FailuresInRow.fetch_add(1, std::memory_order_relaxed) + 1;
-  if (Failures < internal::kFailuresBeforeAvoiding)
+  if (Failures < internal::FailuresBeforeAvoiding)
     return;
   const std::uint32_t Doublings = std::min(
-      Failures - internal::kFailuresBeforeAvoiding, internal::kMaxDoublings);
-  const Millis Avoidance = internal::kFirstAvoidance * (1U << Doublings);
+      Failures - internal::FailuresBeforeAvoiding, internal::MaxDoublings);
+  const Millis Avoidance = internal::FirstAvoidance * (1U << Doublings);
   this->AvoidUntilUnixMs.store(unixMillis(Now + Avoidance),
                                std::memory_order_relaxed);
 }
--- a/persimmonquay/routing/outcome.h
+++ b/persimmonquay/routing/outcome.h
@@ -1,4 +1,4 @@
-// How a call ended, as callers are told in the header kOutcomeHeader.
+// How a call ended, as callers are told in the header OutcomeHeader.
 #ifndef PERSIMMONQUAY_ROUTING_OUTCOME_H
 #define PERSIMMONQUAY_ROUTING_OUTCOME_H
 
@@ -7,13 +7,13 @@
 namespace persimmonquay {
 
 /// Names the outcome of every answer that a node, not an upstream, wrote.
-inline constexpr char kOutcomeHeader[] = "x-pq-outcome";
+inline constexpr char OutcomeHeader[] = "x-pq-outcome";
 
 /// Remaining time of a call in milliseconds; shrinks along a chain of calls.
-inline constexpr char kDeadlineHeader[] = "x-pq-deadline-ms";
+inline constexpr char DeadlineHeader[] = "x-pq-deadline-ms";
 
 /// Key of a non-idempotent call: "<creation time in Unix ms>-<unique text>".
-inline constexpr char kKeyHeader[] = "idempotency-key";
+inline constexpr char KeyHeader[] = "idempotency-key";
 
 enum class Outcome {
   /// The upstream answered and the whole answer was passed on.
--- a/persimmonquay/routing/retry_budget.h
+++ b/persimmonquay/routing/retry_budget.h
@@ -7,7 +7,7 @@
 
 namespace persimmonquay {
 
-/// Each call earns a tenth of a retry; at most `kMaxSaved` are saved up. Over a
+/// Each call earns a tenth of a retry; at most `MaxSaved` are saved up. Over a
 /// chain of nine calls the work under an outage is at most 1.1 to the ninth
 /// power, 2.4 times that without retries, once the saved ones are spent.
 ///
@@ -20,12 +20,12 @@
 class RetryBudget {
 public:
   /// Retries that may be saved up while calls succeed.
-  static constexpr std::int64_t kMaxSaved = 10;
+  static constexpr std::int64_t MaxSaved = 10;
 
   /// Records one first try.
   void earn() {
     std::int64_t Known = this->Tenths.load(std::memory_order_relaxed);
-    while (Known < kTenthsPerRetry * kMaxSaved &&
+    while (Known < TenthsPerRetry * MaxSaved &&
            !this->Tenths.compare_exchange_weak(Known, Known + 1,
                                                std::memory_order_relaxed)) {
     }
@@ -34,16 +34,16 @@
   /// Takes one retry; returns false when none is left.
   bool spend() {
     std::int64_t Known = this->Tenths.load(std::memory_order_relaxed);
-    while (Known >= kTenthsPerRetry)
-      if (this->Tenths.compare_exchange_weak(Known, Known - kTenthsPerRetry,
+    while (Known >= TenthsPerRetry)
+      if (this->Tenths.compare_exchange_weak(Known, Known - TenthsPerRetry,
                                              std::memory_order_relaxed))
         return true;
     return false;
   }
 
 private:
-  static constexpr std::int64_t kTenthsPerRetry = 10;
-  std::atomic<std::int64_t> Tenths = kTenthsPerRetry * kMaxSaved;
+  static constexpr std::int64_t TenthsPerRetry = 10;
+  std::atomic<std::int64_t> Tenths = TenthsPerRetry * MaxSaved;
 };
 
 } // namespace persimmonquay
--- a/testing/demo/demo.cc
+++ b/testing/demo/demo.cc
@@ -43,14 +43,14 @@
           "quotes"};
 }
 
-constexpr std::size_t kDataCentres = 3;
-constexpr Millis kConvergenceLimit{6000};
-constexpr unsigned kGoodDueS = 30;
-constexpr unsigned kBadDueS = 60;
+constexpr std::size_t DataCentres = 3;
+constexpr Millis ConvergenceLimit{6000};
+constexpr unsigned GoodDueS = 30;
+constexpr unsigned BadDueS = 60;
 /// Largest part of the service's calls that a bad version may get.
-constexpr double kBadShareLimit = 0.1;
+constexpr double BadShareLimit = 0.1;
 /// Control bytes that a node may send in a second at the size of two years.
-constexpr double kControlLimit = 4096;
+constexpr double ControlLimit = 4096;
 
 /// A line of the closing table.
 struct Row {
@@ -62,7 +62,7 @@
 class Demo {
 public:
   Demo(const Scenario &Played, std::string Examples)
-      : Played(Played), Examples(std::move(Examples)), Running(kDataCentres) {}
+      : Played(Played), Examples(std::move(Examples)), Running(DataCentres) {}
 
   int run() {
     this->startFleet();
@@ -81,12 +81,12 @@
     std::size_t Next = 0;
     for (const ServiceSize &Service : this->Played.Services)
       for (std::size_t I = 0; I < Service.Upstreams; ++I)
-        this->Running.addHost({Next++ % kDataCentres, Service.Name});
+        this->Running.addHost({Next++ % DataCentres, Service.Name});
     for (const ServiceSize &Service : this->Played.Services) {
       const bool Moved = Service.Name == this->Played.GoodService ||
                          Service.Name == this->Played.BadService;
       for (std::size_t I = 0; Moved && I < Service.Upstreams; ++I)
-        this->Running.addHost({Next++ % kDataCentres, Service.Name, "v2"});
+        this->Running.addHost({Next++ % DataCentres, Service.Name, "v2"});
     }
     this->Running.startAll();
     for (Host *Bad : this->Running.hostsOf(this->Played.BadService, "v2"))
@@ -100,22 +100,22 @@
     const CommandResult Published =
         this->Running.run(this->Running.host(0), {"config", "publish", Path});
     const bool Everywhere = Published.ExitCode == 0 &&
-                            this->Running.waitForVersion(1, kConvergenceLimit);
+                            this->Running.waitForVersion(1, ConvergenceLimit);
     const auto Took = std::chrono::duration_cast<Millis>(monoNow() - Start);
     this->Rows.push_back(
         {"configuration in force everywhere",
          absl::StrFormat("%d ms on %d nodes, command included", Took.count(),
                          this->Running.hosts().size()),
-         Everywhere && Took < kConvergenceLimit});
+         Everywhere && Took < ConvergenceLimit});
   }
 
   void startLoad() {
     std::vector<Place> Nodes;
     for (const auto &Each : this->Running.hosts())
       Nodes.push_back(Each->caller());
-    constexpr std::size_t kCallers = 24;
-    this->Callers = std::make_unique<Load>(Nodes, this->Played.Targets,
-                                           kCallers, Millis(20));
+    constexpr std::size_t Callers = 24;
+    this->Callers = std::make_unique<Load>(Nodes, this->Played.Targets, Callers,
+                                           Millis(20));
     this->Callers->start();
     this->BytesAtStart = this->controlBytes();
     this->LoadStart = monoNow();
@@ -140,14 +140,14 @@
               << " to a good version ..." << std::endl;
     const MonoTime Start = monoNow();
     const CommandResult Result =
-        this->move("good", this->Played.GoodService, kGoodDueS);
+        this->move("good", this->Played.GoodService, GoodDueS);
     const auto Took =
         std::chrono::duration_cast<std::chrono::seconds>(monoNow() - Start);
     std::cout << "  " << lastLine(Result.Output) << std::endl;
     this->Rows.push_back(
         {"good version completed",
-         absl::StrFormat("after %d s, due after %d s", Took.count(), kGoodDueS),
-         Result.ExitCode == 0 && Took <= std::chrono::seconds(kGoodDueS)});
+         absl::StrFormat("after %d s, due after %d s", Took.count(), GoodDueS),
+         Result.ExitCode == 0 && Took <= std::chrono::seconds(GoodDueS)});
   }
 
   void moveBad() {
@@ -155,7 +155,7 @@
               << " to a version that fails half of its calls ..." << std::endl;
     const double RunsBefore = this->runsOf(this->Played.BadService, "v1");
     const CommandResult Result =
-        this->move("bad", this->Played.BadService, kBadDueS);
+        this->move("bad", this->Played.BadService, BadDueS);
     std::cout << "  " << lastLine(Result.Output) << std::endl;
     const double OldRuns =
         this->runsOf(this->Played.BadService, "v1") - RunsBefore;
@@ -165,7 +165,7 @@
         {"bad version taken back",
          absl::StrFormat("it got %.0f calls, %.1f%% of the service's", BadRuns,
                          100 * Share),
-         Result.ExitCode == 1 && Share <= kBadShareLimit});
+         Result.ExitCode == 1 && Share <= BadShareLimit});
     const bool Silent = this->getsNothing();
     this->Rows.push_back({"calls to the bad version afterwards",
                           Silent ? "none" : "some", Silent});
@@ -202,7 +202,7 @@
         static_cast<double>(this->Running.hosts().size());
     this->Rows.push_back({"control bytes sent by a node",
                           absl::StrFormat("%.0f a second", BytesPerNode),
-                          BytesPerNode < kControlLimit});
+                          BytesPerNode < ControlLimit});
     this->Rows.push_back(
         {"calls",
          absl::StrFormat("%d, of which %d good", Seen.Calls, Seen.Good),
--- a/testing/fleet/fleet.cc
+++ b/testing/fleet/fleet.cc
@@ -20,23 +20,23 @@
 namespace fs = std::filesystem;
 
 /// Second numbers of the addresses that one fleet may use.
-constexpr int kNumbersPerFleet = 24;
-constexpr int kFirstNumber = 2;
-constexpr int kLastNumber = 250;
-constexpr int kLinkOffset = 8;
-constexpr std::uint16_t kGuardPort = 6999;
-constexpr std::uint16_t kLogPort = 7000;
-constexpr std::uint16_t kLinkControlPort = 6998;
+constexpr int NumbersPerFleet = 24;
+constexpr int FirstNumber = 2;
+constexpr int LastNumber = 250;
+constexpr int LinkOffset = 8;
+constexpr std::uint16_t GuardPort = 6999;
+constexpr std::uint16_t LogPort = 7000;
+constexpr std::uint16_t LinkControlPort = 6998;
 /// Hosts for which a link is prepared, in each data centre.
-constexpr std::size_t kLinkedHosts = 24;
-constexpr Millis kStartTimeout{30000};
+constexpr std::size_t LinkedHosts = 24;
+constexpr Millis StartTimeout{30000};
 
 /// Binds a port so that another test program picks other addresses.
 int bindGuard(const std::string &Address) {
   const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in Wanted{};
   Wanted.sin_family = AF_INET;
-  Wanted.sin_port = htons(kGuardPort);
+  Wanted.sin_port = htons(GuardPort);
   inet_pton(AF_INET, Address.c_str(), &Wanted.sin_addr);
   if (bind(Socket, reinterpret_cast<sockaddr *>(&Wanted), sizeof(Wanted)) == 0)
     return Socket;
@@ -49,9 +49,9 @@
 Fleet::Fleet(std::size_t DataCentres, std::string ExtraSettings)
     : DataCentres(DataCentres), ExtraSettings(std::move(ExtraSettings)),
       HostsIn(DataCentres, 0) {
-  for (int First = kFirstNumber;
-       First + kNumbersPerFleet <= kLastNumber && this->GuardSocket < 0;
-       First += kNumbersPerFleet) {
+  for (int First = FirstNumber;
+       First + NumbersPerFleet <= LastNumber && this->GuardSocket < 0;
+       First += NumbersPerFleet) {
     this->Base = First;
     this->GuardSocket = bindGuard(absl::StrCat("127.", First, ".255.1"));
   }
@@ -86,7 +86,7 @@
 
 std::string Fleet::linkPrefix(std::size_t From, std::size_t To) const {
   return absl::StrCat("127.",
-                      this->Base + kLinkOffset +
+                      this->Base + LinkOffset +
                           static_cast<int>(From * this->DataCentres + To));
 }
 
@@ -98,7 +98,7 @@
   const std::string Address = absl::StrCat("127.", this->Base, ".255.1");
   this->Log = std::make_unique<Process>(
       std::vector<std::string>{this->program("log_stand_in"), "--address",
-                               Address, "--port", absl::StrCat(kLogPort)},
+                               Address, "--port", absl::StrCat(LogPort)},
       this->Directory + "/log.out");
 }
 
@@ -107,9 +107,9 @@
   std::ofstream File(Path);
   for (std::size_t From = 0; From < this->DataCentres; ++From) {
     File << "log-" << From << " tcp " << this->logAddressFor(From) << " 127."
-         << this->Base << ".255.1 " << kLogPort << "\n";
+         << this->Base << ".255.1 " << LogPort << "\n";
     for (std::size_t To = 0; To < this->DataCentres; ++To)
-      for (std::size_t I = 0; To != From && I < kLinkedHosts; ++I)
+      for (std::size_t I = 0; To != From && I < LinkedHosts; ++I)
         for (const char *Line : {"tcp 7002", "tcp 7004", "udp 7004"})
           File << From << "-" << To << " " << std::string(Line, 3) << " "
                << this->linkPrefix(From, To) << ".0." << I + 1 << " "
@@ -120,7 +120,7 @@
       std::vector<std::string>{this->program("link_stand_in"), "--forwards",
                                Path, "--address",
                                absl::StrCat("127.", this->Base, ".255.1"),
-                               "--port", absl::StrCat(kLinkControlPort)},
+                               "--port", absl::StrCat(LinkControlPort)},
       this->Directory + "/links.out");
 }
 
@@ -144,8 +144,8 @@
   const std::size_t Own = Of.Spec.DataCentre;
   std::string Seeds;
   std::string Translations;
-  constexpr std::size_t kSeedsPerDataCentre = 2;
-  for (std::size_t I = 0; I < kSeedsPerDataCentre; ++I)
+  constexpr std::size_t SeedsPerDataCentre = 2;
+  for (std::size_t I = 0; I < SeedsPerDataCentre; ++I)
     absl::StrAppend(&Seeds, Seeds.empty() ? "" : ", ", "\"",
                     this->addressOf(Own, I), ":7004\"");
   for (std::size_t To = 0; To < this->DataCentres; ++To) {
@@ -162,7 +162,7 @@
       "\",\n  \"caller_port\": 7001, \"ingress_port\": 7002, "
       "\"local_port\": 7003, \"peer_port\": 7004, \"operator_port\": 7005,\n"
       "  \"log_url\": \"http://",
-      this->logAddressFor(Own), ":", kLogPort, "\",\n  \"seeds\": [", Seeds,
+      this->logAddressFor(Own), ":", LogPort, "\",\n  \"seeds\": [", Seeds,
       "],\n  \"translations\": [", Translations, "],\n  \"trace_file\": \"",
       this->Directory, "/", Of.Name, ".trace\"",
       this->ExtraSettings.empty() ? "" : ",\n  ", this->ExtraSettings, "\n}\n");
@@ -213,20 +213,20 @@
     this->startUpstream(Each.get());
   }
   this->Started = true;
-  if (!this->waitForMembers(this->Hosts.size(), kStartTimeout))
+  if (!this->waitForMembers(this->Hosts.size(), StartTimeout))
     throw std::runtime_error("the nodes did not find each other; logs in " +
                              this->Directory);
 }
 
 void Fleet::controlLog(const std::string &Query) const {
-  request({absl::StrCat("127.", this->Base, ".255.1"), kLogPort}, "POST",
+  request({absl::StrCat("127.", this->Base, ".255.1"), LogPort}, "POST",
           "/control?" + Query);
 }
 
 void Fleet::controlLink(const std::string &Link,
                         const std::string &Query) const {
-  request({absl::StrCat("127.", this->Base, ".255.1"), kLinkControlPort},
-          "POST", absl::StrCat("/control?link=", Link, "&", Query));
+  request({absl::StrCat("127.", this->Base, ".255.1"), LinkControlPort}, "POST",
+          absl::StrCat("/control?link=", Link, "&", Query));
 }
 
 void Fleet::controlUpstream(const Host &To, const std::string &Query) {
--- a/testing/fleet/load.cc
+++ b/testing/fleet/load.cc
@@ -11,8 +11,8 @@
 namespace persimmonquay::testing {
 namespace {
 
-constexpr std::size_t kMaxExamples = 10;
-constexpr Millis kCallerTimeout{8000};
+constexpr std::size_t MaxExamples = 10;
+constexpr Millis CallerTimeout{8000};
 
 std::string freshCaller() {
   thread_local std::mt19937_64 Random(std::random_device{}());
@@ -41,7 +41,7 @@
   this->Latencies.insert(this->Latencies.end(), Other.Latencies.begin(),
                          Other.Latencies.end());
   for (const std::string &Example : Other.Examples)
-    if (this->Examples.size() < kMaxExamples)
+    if (this->Examples.size() < MaxExamples)
       this->Examples.push_back(Example);
 }
 
@@ -96,11 +96,11 @@
   Request.Headers.push_back(HeaderField{"x-caller", Caller});
   const MonoTime Start = monoNow();
   const ExchangeResult Result =
-      Pool->exchange(Node.Address, Node.Port, Request, kCallerTimeout);
+      Pool->exchange(Node.Address, Node.Port, Request, CallerTimeout);
   Report->Latencies.push_back(
       std::chrono::duration_cast<std::chrono::microseconds>(monoNow() - Start));
   ++Report->Calls;
-  const std::string Outcome = findHeader(Result.Reply.Headers, kOutcomeHeader);
+  const std::string Outcome = findHeader(Result.Reply.Headers, OutcomeHeader);
   const auto Answer = nlohmann::json::parse(Result.Reply.Body, nullptr, false);
   std::string Example =
       absl::StrCat(Node.Address, " ", Target, ": ", Result.Reply.Status, " ",
@@ -119,7 +119,7 @@
     if (Result.Reply.Status < 500)
       return;
   }
-  if (Report->Examples.size() < kMaxExamples)
+  if (Report->Examples.size() < MaxExamples)
     Report->Examples.push_back(std::move(Example));
 }
 
--- a/testing/fleet/process.cc
+++ b/testing/fleet/process.cc
@@ -15,6 +15,7 @@
                  std::string OutputPath)
     : OutputPath(std::move(OutputPath)) {
   std::vector<char *> Words;
+  Words.reserve(Command.size() + 1);
   for (const std::string &Word : Command)
     Words.push_back(const_cast<char *>(Word.c_str()));
   Words.push_back(nullptr);
--- a/testing/stand_ins/link_stand_in.cc
+++ b/testing/stand_ins/link_stand_in.cc
@@ -27,7 +27,7 @@
 using Poco::Net::SocketAddress;
 using Poco::Net::StreamSocket;
 
-const Poco::Timespan kPoll(50 * 1000);
+const Poco::Timespan Poll(50000);
 
 struct Link {
   std::atomic<bool> Cut = false;
@@ -55,7 +55,7 @@
   std::array<char, 16384> Buffer;
   try {
     while (!Through->Cut) {
-      if (!From.poll(kPoll, Poco::Net::Socket::SELECT_READ))
+      if (!From.poll(Poll, Poco::Net::Socket::SELECT_READ))
         continue;
       if (Through->Generation != Generation) {
         std::this_thread::sleep_for(std::chrono::milliseconds(50));
@@ -78,7 +78,7 @@
   }
 }
 
-void forwardStreams(Forward Wanted, const Link *Through) {
+void forwardStreams(const Forward &Wanted, const Link *Through) {
   Poco::Net::ServerSocket Listener;
   Listener.bind(SocketAddress(Wanted.Listen, Wanted.Port), true);
   Listener.listen();
@@ -101,7 +101,7 @@
   }
 }
 
-void forwardDatagrams(Forward Wanted, const Link *Through) {
+void forwardDatagrams(const Forward &Wanted, const Link *Through) {
   Poco::Net::DatagramSocket Socket;
   Socket.bind(SocketAddress(Wanted.Listen, Wanted.Port), false);
   const SocketAddress Target(Wanted.Target, Wanted.Port);
--- a/testing/stand_ins/log_stand_in.cc
+++ b/testing/stand_ins/log_stand_in.cc
@@ -24,8 +24,8 @@
 using Json = nlohmann::json;
 using Clock = std::chrono::steady_clock;
 
-constexpr double kDefaultRate = 400;
-constexpr std::size_t kMaxRecordsInAnswer = 500;
+constexpr double DefaultRate = 400;
+constexpr std::size_t MaxRecordsInAnswer = 500;
 
 struct Stream {
   std::uint64_t Oldest = 0;
@@ -144,7 +144,7 @@
     });
     const bool Expired = From < this->Streams[Name].Oldest;
     const std::string Answer =
-        Expired ? "expired" : this->chunk(Name, From, kMaxRecordsInAnswer);
+        Expired ? "expired" : this->chunk(Name, From, MaxRecordsInAnswer);
     const int Status = this->Outage ? 503 : Expired ? 410 : 200;
     Lock.unlock();
     sendText(Response, Status, Answer);
@@ -171,8 +171,8 @@
   std::atomic<int> SlowMs = 0;
   int LoseAnswers = 0;
   double Keep = std::numeric_limits<double>::infinity();
-  double Rate = kDefaultRate;
-  double Tokens = kDefaultRate;
+  double Rate = DefaultRate;
+  double Tokens = DefaultRate;
   Clock::time_point LastToken = Clock::now();
   std::uint64_t Appends = 0;
   std::uint64_t Reads = 0;
--- a/testing/stand_ins/stand_in_server.cc
+++ b/testing/stand_ins/stand_in_server.cc
@@ -48,17 +48,17 @@
 std::unique_ptr<Poco::Net::HTTPServer> startServer(const std::string &Address,
                                                    unsigned short Port,
                                                    StandInHandler Serve) {
-  constexpr int kMaxThreads = 256;
-  static Poco::ThreadPool Threads(2, 4 * kMaxThreads);
+  constexpr int MaxThreads = 256;
+  static Poco::ThreadPool Threads(2, 4 * MaxThreads);
   auto *Parameters = new Poco::Net::HTTPServerParams();
-  Parameters->setMaxThreads(kMaxThreads);
-  Parameters->setMaxQueued(kMaxThreads);
+  Parameters->setMaxThreads(MaxThreads);
+  Parameters->setMaxQueued(MaxThreads);
   Parameters->setKeepAlive(true);
   Parameters->setMaxKeepAliveRequests(0);
   Parameters->setKeepAliveTimeout(Poco::Timespan(60, 0));
   Poco::Net::ServerSocket Socket;
   Socket.bind(Poco::Net::SocketAddress(Address, Port), true);
-  Socket.listen(kMaxThreads);
+  Socket.listen(MaxThreads);
   auto Server = std::make_unique<Poco::Net::HTTPServer>(
       new internal::Factory(std::move(Serve)), Threads, Socket, Parameters);
   Server->start();
--- a/testing/stand_ins/upstream_stand_in.cc
+++ b/testing/stand_ins/upstream_stand_in.cc
@@ -33,8 +33,8 @@
 using Clock = std::chrono::steady_clock;
 using Query = std::map<std::string, std::string>;
 
-constexpr std::chrono::milliseconds kAnnounceInterval{500};
-constexpr int kCrashExit = 70;
+constexpr std::chrono::milliseconds AnnounceInterval{500};
+constexpr int CrashExit = 70;
 
 struct Faults {
   double Fail = 0;
@@ -78,7 +78,7 @@
   void announceLoop() {
     while (!this->Stopping) {
       this->announce();
-      std::this_thread::sleep_for(kAnnounceInterval);
+      std::this_thread::sleep_for(AnnounceInterval);
     }
   }
 
@@ -86,7 +86,7 @@
   void drain() {
     this->Draining = true;
     this->announce();
-    std::this_thread::sleep_for(kAnnounceInterval);
+    std::this_thread::sleep_for(AnnounceInterval);
     while (this->Running > 0)
       std::this_thread::sleep_for(std::chrono::milliseconds(10));
     this->Stopping = true;
@@ -140,7 +140,7 @@
     std::string Body;
     Poco::StreamCopier::copyToString(Request.stream(), Body);
     if (Now.Crash && Request.has("x-crash"))
-      std::_Exit(kCrashExit);
+      std::_Exit(CrashExit);
     const std::uint64_t Run = this->noteRun(Request.get("idempotency-key", ""));
     while (this->faults().Silent && !this->Stopping)
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
