--- a/persimmonquay/config/config_store.cc
+++ b/persimmonquay/config/config_store.cc
@@ -107,6 +107,11 @@
   return this->State.next_offset();
 }
 
+std::uint64_t ConfigStore::floor() const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  return std::max(this->Floor, this->State.next_offset());
+}
+
 std::uint64_t ConfigStore::version() const {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   return this->State.version();
--- a/persimmonquay/config/config_store.h
+++ b/persimmonquay/config/config_store.h
@@ -62,6 +62,10 @@
 
   proto::ConfigurationState state() const;
   std::uint64_t nextOffset() const;
+
+  /// Returns the offset below which this node serves nothing, for peers that
+  /// take its state.
+  std::uint64_t floor() const;
   std::uint64_t version() const;
 
   /// Fills `Reply` with the records from `Offset` on, or with the whole state
--- a/persimmonquay/membership/fact_table.cc
+++ b/persimmonquay/membership/fact_table.cc
@@ -62,6 +62,18 @@
   return Found == nullptr ? 0 : Found->level();
 }
 
+std::size_t FactTable::countWithPrefix(proto::FactKind Kind,
+                                       const std::string &Prefix) const {
+  std::size_t Count = 0;
+  const int Number = static_cast<int>(Kind);
+  for (auto It = this->Facts.lower_bound({Number, Prefix});
+       It != this->Facts.end() && It->first.first == Number &&
+       It->first.second.starts_with(Prefix);
+       ++It)
+    ++Count;
+  return Count;
+}
+
 const proto::Fact *FactTable::find(proto::FactKind Kind,
                                    const std::string &Key) const {
   const auto Found =
--- a/persimmonquay/membership/fact_table.h
+++ b/persimmonquay/membership/fact_table.h
@@ -38,6 +38,10 @@
   /// Returns the level of a fact; 0 when it is unknown.
   std::uint64_t level(proto::FactKind Kind, const std::string &Key) const;
 
+  /// Returns the number of facts whose key starts with `Prefix`.
+  std::size_t countWithPrefix(proto::FactKind Kind,
+                              const std::string &Prefix) const;
+
   /// Returns the fact, or null.
   const proto::Fact *find(proto::FactKind Kind, const std::string &Key) const;
 
--- a/persimmonquay/membership/membership_test.cc
+++ b/persimmonquay/membership/membership_test.cc
@@ -219,6 +219,15 @@
   CHECK_FALSE(Table.merge(fact("m", 1), Now + Millis(5000)));
 }
 
+TEST_CASE("facts are counted by the beginning of their key") {
+  FactTable Table;
+  for (const char *Key : {"ab/1", "ab/2", "abc/1", "b/1"})
+    Table.merge(fact(Key, 1), Now);
+  CHECK(Table.countWithPrefix(proto::MOVE_STEP, "ab/") == 2);
+  CHECK(Table.countWithPrefix(proto::MOVE_STEP, "c") == 0);
+  CHECK(Table.countWithPrefix(proto::REQUEST_BLAME, "ab/") == 0);
+}
+
 TEST_CASE("facts without a key or past the size limit are ignored") {
   FactTable Table;
   CHECK_FALSE(Table.merge(fact("", 1), Now));
--- a/persimmonquay/node/egress.cc
+++ b/persimmonquay/node/egress.cc
@@ -268,6 +268,8 @@
                              Reply.Reply.Status >= internal::ServerError;
     Call->Tried.push_back(Chosen->Node);
     Call->OldVersionOnly |= ToNewVersion;
+    Call->Deaths += Reply.UpstreamDied ? 1 : 0;
+    Call->NewConnections |= Reply.End == TryEnd::AnswerLost;
     if (Reply.End == TryEnd::Answered && !(FailedAtNew && Try == 0))
       return EgressReply{Outcome::Answered, std::move(Reply.Reply)};
     Detail = FailedAtNew ? "the new version failed" : Reply.Detail;
@@ -295,6 +297,7 @@
     Own.Priority = Call.Target->Route.priority();
     Own.Remaining = Limit;
     Own.Fingerprint = Call.Fingerprint;
+    Own.Deaths = Call.Deaths;
     Reply = this->Needed.OwnIngress->run(Own);
   } else {
     Reply = this->forward(Call, *Chosen, Limit);
@@ -319,6 +322,7 @@
          absl::StrCat(static_cast<int>(Call.Target->Route.priority()))},
         {DeadlineHeader, absl::StrCat(Limit.count())},
         {FingerprintHeader, hashToHex(Call.Fingerprint)},
+        {DeathsHeader, absl::StrCat(Call.Deaths)},
         {CallHeader, CallId}})
     Forwarded.Headers.push_back(HeaderField{Name, Value});
   // A little longer than the other node may take, so that its refusal for
@@ -326,7 +330,9 @@
   constexpr Millis Grace{50};
   ExchangeResult Result = this->Needed.Pool->exchange(
       this->Needed.Book->reach(Chosen.DataCentre, Chosen.Address),
-      Chosen.IngressPort, Forwarded, Limit + Grace);
+      Chosen.IngressPort, Forwarded, Limit + Grace,
+      Call.NewConnections ? HttpPool::Connection::New
+                          : HttpPool::Connection::Any);
   IngressReply Reply;
   Reply.Detail = Result.Detail;
   if (Result.Ended == ExchangeResult::End::NothingSent) {
@@ -341,6 +347,7 @@
     return Reply;
   }
   Reply.End = parseTryEnd(findHeader(Headers, TryHeader));
+  Reply.UpstreamDied = findHeader(Headers, DeathsHeader) == "1";
   if (Reply.End != TryEnd::Answered)
     Reply.Detail = findHeader(Headers, DetailHeader);
   (void)absl::SimpleAtoi(findHeader(Headers, LoadHeader), &Reply.Load);
--- a/persimmonquay/node/egress.h
+++ b/persimmonquay/node/egress.h
@@ -77,6 +77,10 @@
     std::vector<std::string> Tried;
     /// Set after a try at the new version failed.
     bool OldVersionOnly = false;
+    /// Upstreams that died while they ran the call.
+    std::uint64_t Deaths = 0;
+    /// Set after a try got no answer: other kept connections may be silent too.
+    bool NewConnections = false;
   };
 
   EgressReply serveKeyed(Journey *Call, const std::string &Key);
@@ -97,6 +101,7 @@
 inline constexpr char ServiceHeader[] = "x-pq-service";
 inline constexpr char PriorityHeader[] = "x-pq-priority";
 inline constexpr char FingerprintHeader[] = "x-pq-fingerprint";
+inline constexpr char DeathsHeader[] = "x-pq-deaths";
 inline constexpr char CallHeader[] = "x-pq-call";
 inline constexpr char LoadHeader[] = "x-pq-load";
 inline constexpr char TryHeader[] = "x-pq-try";
--- a/persimmonquay/node/http_pool.cc
+++ b/persimmonquay/node/http_pool.cc
@@ -92,14 +92,17 @@
 
 ExchangeResult HttpPool::exchange(const std::string &Address,
                                   std::uint16_t Port,
-                                  const CallRequest &Request, Millis Timeout) {
+                                  const CallRequest &Request, Millis Timeout,
+                                  Connection Wanted) {
   const std::string Place = absl::StrCat(Address, ":", Port);
   const MonoTime Deadline = monoNow() + Timeout;
   ExchangeResult Result;
-  std::unique_ptr<Session> Connection = this->takeIdle(Place);
+  std::unique_ptr<Session> Link;
+  if (Wanted == Connection::Any)
+    Link = this->takeIdle(Place);
   try {
-    if (Connection == nullptr)
-      Connection = internal::connect(Address, Port, Timeout);
+    if (Link == nullptr)
+      Link = internal::connect(Address, Port, Timeout);
   } catch (const Poco::Exception &Error) {
     Result.Detail = absl::StrCat(Place, ": ", Error.displayText());
     return Result;
@@ -108,8 +111,8 @@
   bool KeepAlive = false;
   try {
     // The session's own timeouts take effect only when it connects by itself.
-    Connection->socket().setReceiveTimeout(internal::toPoco(Timeout));
-    Connection->socket().setSendTimeout(internal::toPoco(Timeout));
+    Link->socket().setReceiveTimeout(internal::toPoco(Timeout));
+    Link->socket().setSendTimeout(internal::toPoco(Timeout));
     Poco::Net::HTTPRequest Head(Request.Method, Request.Target,
                                 Poco::Net::HTTPMessage::HTTP_1_1);
     for (const HeaderField &Field : Request.Headers)
@@ -117,9 +120,9 @@
     Head.setHost(Address, Port);
     Head.setKeepAlive(true);
     Head.setContentLength64(static_cast<Poco::Int64>(Request.Body.size()));
-    Connection->sendRequest(Head) << Request.Body << std::flush;
-    Result.Detail = internal::receive(Connection.get(), Request.Method,
-                                      Deadline, &Result.Reply, &KeepAlive);
+    Link->sendRequest(Head) << Request.Body << std::flush;
+    Result.Detail = internal::receive(Link.get(), Request.Method, Deadline,
+                                      &Result.Reply, &KeepAlive);
   } catch (const Poco::TimeoutException &) {
     Result.TimedOut = true;
     Result.Detail = "no answer in time";
@@ -130,7 +133,7 @@
   if (Result.Detail.empty()) {
     Result.Ended = internal::End::Answered;
     if (KeepAlive)
-      this->keepIdle(Place, std::move(Connection));
+      this->keepIdle(Place, std::move(Link));
   } else if (Result.TimedOut) {
     this->closeIdle(Place);
   }
--- a/persimmonquay/node/http_pool.h
+++ b/persimmonquay/node/http_pool.h
@@ -50,11 +50,20 @@
   HttpPool &operator=(const HttpPool &) = delete;
   ~HttpPool();
 
+  /// Which connection an exchange may use.
+  enum class Connection {
+    /// A kept one where there is one.
+    Any,
+    /// A new one, since kept ones may have gone silent.
+    New,
+  };
+
   /// Sends `Request` and waits for the whole answer, at most `Timeout`. An
   /// answer whose length is not stated counts as lost, since a cut one could
   /// not be told from a whole one.
   ExchangeResult exchange(const std::string &Address, std::uint16_t Port,
-                          const CallRequest &Request, Millis Timeout);
+                          const CallRequest &Request, Millis Timeout,
+                          Connection Wanted = Connection::Any);
 
   /// Returns whether a new connection can be opened within `Timeout`.
   static bool canConnect(const std::string &Address, std::uint16_t Port,
--- a/persimmonquay/node/http_server.cc
+++ b/persimmonquay/node/http_server.cc
@@ -7,11 +7,13 @@
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerConnection.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
 #include <Poco/String.h>
 #include <Poco/ThreadPool.h>
 #include <Poco/Timespan.h>
@@ -23,6 +25,7 @@
 #include <istream>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace persimmonquay {
 namespace internal {
@@ -34,6 +37,8 @@
 constexpr Millis KeepAliveTimeout{30000};
 constexpr std::size_t MaxTargetBytes = 8192;
 constexpr Millis StopPoll{10};
+/// Time in which idle connections may bring one more request at a stop.
+constexpr Millis IdleGrace{500};
 
 /// A request that is refused before the handler sees it.
 struct IntakeError {
@@ -222,7 +227,32 @@
 
 class HttpServer::Implementation {
 public:
+  /// Serves the connections that callers had opened before the port closed but
+  /// that the server had not accepted; closing the port would reset them.
+  void serveBacklog() {
+    std::vector<std::thread> Late;
+    while (
+        this->Socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+      Poco::Net::StreamSocket Accepted = this->Socket.acceptConnection();
+      Late.emplace_back([this, Accepted] {
+        try {
+          Poco::Net::HTTPServerConnection(Accepted, this->Parameters,
+                                          this->Factory)
+              .run();
+        } catch (const Poco::Exception &) {
+          // The caller closed the connection without a request.
+        }
+      });
+    }
+    this->Socket.close();
+    for (std::thread &Thread : Late)
+      Thread.join();
+  }
+
   internal::ServerContext Context;
+  Poco::Net::ServerSocket Socket;
+  Poco::AutoPtr<Poco::Net::HTTPServerParams> Parameters;
+  Poco::Net::HTTPRequestHandlerFactory::Ptr Factory;
   std::unique_ptr<Poco::ThreadPool> Threads;
   std::unique_ptr<Poco::Net::HTTPServer> Server;
 };
@@ -231,32 +261,10 @@
 
 HttpServer::~HttpServer() { this->stop(Millis(0)); }
 
-absl::Status HttpServer::start(const std::string &Address, std::uint16_t Port,
-                               const HttpLimits &Limits, Handler Serve) {
+absl::Status HttpServer::bind(const std::string &Address, std::uint16_t Port) {
   auto Next = std::make_unique<Implementation>();
-  Next->Context.Limits = Limits;
-  Next->Context.Serve = std::move(Serve);
-  Poco::AutoPtr<Poco::Net::HTTPServerParams> Parameters(
-      new Poco::Net::HTTPServerParams());
-  Parameters->setMaxThreads(static_cast<int>(Limits.MaxThreads));
-  Parameters->setMaxQueued(static_cast<int>(Limits.MaxThreads));
-  Parameters->setKeepAlive(true);
-  Parameters->setMaxKeepAliveRequests(0);
-  Parameters->setKeepAliveTimeout(
-      Poco::Timespan(internal::KeepAliveTimeout.count() * 1000));
-  Parameters->setTimeout(Poco::Timespan(Limits.ReceiveTimeout.count() * 1000));
   try {
-    constexpr int Backlog = 256;
-    Poco::Net::ServerSocket Socket;
-    Socket.bind(Poco::Net::SocketAddress(Address, Port), true);
-    Socket.listen(Backlog);
-    constexpr int MinThreads = 2;
-    Next->Threads = std::make_unique<Poco::ThreadPool>(
-        MinThreads, static_cast<int>(Limits.MaxThreads));
-    Next->Server = std::make_unique<Poco::Net::HTTPServer>(
-        new internal::HandlerFactory(&Next->Context), *Next->Threads, Socket,
-        Parameters);
-    Next->Server->start();
+    Next->Socket.bind(Poco::Net::SocketAddress(Address, Port), true);
   } catch (const Poco::Exception &Error) {
     return absl::UnavailableError(absl::StrCat("port ", Port, " of ", Address,
                                                ": ", Error.displayText()));
@@ -265,18 +273,60 @@
   return absl::OkStatus();
 }
 
+absl::Status HttpServer::serve(const HttpLimits &Limits, Handler Serve) {
+  Implementation &Own = *this->Impl;
+  Own.Context.Limits = Limits;
+  Own.Context.Serve = std::move(Serve);
+  Own.Parameters = new Poco::Net::HTTPServerParams();
+  Own.Parameters->setMaxThreads(static_cast<int>(Limits.MaxThreads));
+  Own.Parameters->setMaxQueued(static_cast<int>(Limits.MaxThreads));
+  Own.Parameters->setKeepAlive(true);
+  Own.Parameters->setMaxKeepAliveRequests(0);
+  Own.Parameters->setKeepAliveTimeout(
+      Poco::Timespan(internal::KeepAliveTimeout.count() * 1000));
+  Own.Parameters->setTimeout(
+      Poco::Timespan(Limits.ReceiveTimeout.count() * 1000));
+  Own.Factory = new internal::HandlerFactory(&Own.Context);
+  try {
+    constexpr int MinThreads = 2;
+    Own.Threads = std::make_unique<Poco::ThreadPool>(
+        MinThreads, static_cast<int>(Limits.MaxThreads));
+    constexpr int Backlog = 256;
+    Own.Socket.listen(Backlog);
+    Own.Server = std::make_unique<Poco::Net::HTTPServer>(
+        Own.Factory, *Own.Threads, Own.Socket, Own.Parameters);
+    Own.Server->start();
+  } catch (const Poco::Exception &Error) {
+    return absl::UnavailableError(Error.displayText());
+  }
+  return absl::OkStatus();
+}
+
+absl::Status HttpServer::start(const std::string &Address, std::uint16_t Port,
+                               const HttpLimits &Limits, Handler Serve) {
+  const absl::Status Bound = this->bind(Address, Port);
+  return Bound.ok() ? this->serve(Limits, std::move(Serve)) : Bound;
+}
+
 void HttpServer::closeAfterAnswers() {
   if (this->Impl != nullptr)
     this->Impl->Context.Closing = true;
 }
 
 void HttpServer::stop(Millis Timeout) {
-  if (this->Impl == nullptr)
+  if (this->Impl == nullptr || this->Impl->Server == nullptr)
     return;
   this->closeAfterAnswers();
   this->Impl->Server->stop();
+  this->Impl->serveBacklog();
   const MonoTime Deadline = monoNow() + Timeout;
-  while (this->Impl->Context.Active > 0 && monoNow() < Deadline)
+  const MonoTime IdleDeadline =
+      monoNow() + std::min(Timeout, internal::IdleGrace);
+  // Connections without a request may still get one; those with one must end.
+  while (monoNow() < Deadline &&
+         (this->Impl->Context.Active > 0 ||
+          (this->Impl->Server->currentConnections() > 0 &&
+           monoNow() < IdleDeadline)))
     std::this_thread::sleep_for(internal::StopPoll);
   this->Impl->Server->stopAll(true);
   this->Impl->Threads->joinAll();
--- a/persimmonquay/node/http_server.h
+++ b/persimmonquay/node/http_server.h
@@ -40,7 +40,15 @@
   HttpServer &operator=(const HttpServer &) = delete;
   ~HttpServer();
 
-  /// Returns Unavailable when the port is taken.
+  /// Takes the port without listening: connections are refused until
+  /// `serve()`. Returns Unavailable when the port is taken.
+  absl::Status bind(const std::string &Address, std::uint16_t Port);
+
+  /// Serves the port that `bind()` took. Returns Unavailable when the library
+  /// refuses.
+  absl::Status serve(const HttpLimits &Limits, Handler Serve);
+
+  /// Does both.
   absl::Status start(const std::string &Address, std::uint16_t Port,
                      const HttpLimits &Limits, Handler Serve);
 
--- a/persimmonquay/node/ingress.cc
+++ b/persimmonquay/node/ingress.cc
@@ -7,7 +7,9 @@
 #include "persimmonquay/node/routing_view.h"
 #include "persimmonquay/peer/cluster.h"
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace persimmonquay {
 namespace internal {
@@ -157,9 +159,6 @@
   if (auto Refused = this->refusal(Call, *Known))
     return *Refused;
   const MonoTime Deadline = monoNow() + Call.Remaining;
-  std::string Detail;
-  if (!this->startUnderBlame(Call, Deadline, &Detail))
-    return this->refuse(Detail);
   const AdmissionResult Admission =
       this->Gate.acquire(AdmissionRequest{Call.Priority, Deadline});
   IngressReply Reply;
@@ -168,7 +167,7 @@
     const internal::SlotReleaser Releaser{&this->Gate};
     // The version may have been taken back while the call waited.
     auto Refused = this->refusal(Call, *Known);
-    Reply = Refused != nullptr ? *Refused : this->runAdmitted(Call, *Known);
+    Reply = Refused != nullptr ? *Refused : this->runUnderBlame(Call, *Known);
     break;
   }
   case AdmissionResult::Shed:
@@ -181,16 +180,25 @@
     Reply = this->refuse("the upstream is draining");
     break;
   }
+  return Reply;
+}
+
+IngressReply Ingress::runUnderBlame(const IngressCall &Call,
+                                    const Upstream &Known) {
+  std::string Detail;
+  if (!this->startUnderBlame(Call, monoNow() + Call.Remaining, &Detail))
+    return this->refuse(Detail);
+  IngressReply Reply = this->runAdmitted(Call, Known);
   this->Blame.end(Call.Fingerprint);
   return Reply;
 }
 
 bool Ingress::startUnderBlame(const IngressCall &Call, MonoTime Deadline,
                               std::string *Detail) {
-  const std::string Key = hashToHex(Call.Fingerprint);
+  const std::string Key = hashToHex(Call.Fingerprint) + "/";
   while (true) {
-    const std::uint64_t Deaths =
-        this->Group->factLevel(proto::REQUEST_BLAME, Key);
+    const std::uint64_t Deaths = std::max<std::uint64_t>(
+        Call.Deaths, this->Group->factCount(proto::REQUEST_BLAME, Key));
     switch (this->Blame.start(Call.Fingerprint, Deaths)) {
     case CrashBlame::Start::Run:
       return true;
@@ -246,12 +254,14 @@
       Now == nullptr || Now->Last.Boot != Known.Last.Boot;
   if (!Died || !AlreadyReported)
     this->countEvidence(Call, Known, true, StartedAt);
+  Reply.UpstreamDied = Died;
   if (Died)
     this->upstreamDied(Known.Last.Boot);
   return Reply;
 }
 
 void Ingress::upstreamDied(const std::string &Boot) {
+  std::vector<std::uint64_t> Blamed;
   {
     std::lock_guard<std::mutex> Lock(this->Mutex);
     if (this->Current == nullptr || this->Current->Last.Boot != Boot)
@@ -259,18 +269,19 @@
     logLine(LogLevel::Warning, "upstream died",
             {{"service", this->Current->Last.Service},
              {"version", this->Current->Last.Version}});
+    // Under the lock, so that no other call of this death ends before.
+    Blamed = this->Blame.upstreamDied();
     this->Current.reset();
     this->tellPeersLocked();
   }
-  for (std::uint64_t Fingerprint : this->Blame.upstreamDied()) {
-    const std::string Key = hashToHex(Fingerprint);
+  for (std::uint64_t Fingerprint : Blamed) {
     proto::Fact Fact;
     Fact.set_kind(proto::REQUEST_BLAME);
-    Fact.set_key(Key);
-    Fact.set_level(this->Group->factLevel(proto::REQUEST_BLAME, Key) + 1);
+    Fact.set_key(absl::StrCat(hashToHex(Fingerprint), "/", Boot));
+    Fact.set_level(1);
     Fact.set_expires_unix_ms(unixMillis(wallNow() + internal::BlameLifetime));
     logLine(LogLevel::Warning, "request blamed for the death of an upstream",
-            {{"fingerprint", Key}, {"deaths", absl::StrCat(Fact.level())}});
+            {{"fingerprint", hashToHex(Fingerprint)}});
     this->Group->raiseFact(Fact);
   }
 }
--- a/persimmonquay/node/ingress.h
+++ b/persimmonquay/node/ingress.h
@@ -41,6 +41,8 @@
   int Priority = 0;
   Millis Remaining{0};
   std::uint64_t Fingerprint = 0;
+  /// Upstream deaths that the sender has seen this call end in.
+  std::uint64_t Deaths = 0;
 };
 
 /// How the try ended.
@@ -51,6 +53,8 @@
   std::string Detail;
   /// Calls running and waiting at the upstream.
   std::uint32_t Load = 0;
+  /// True when the upstream died while the call ran.
+  bool UpstreamDied = false;
 };
 
 /// Alone admits work to the upstream, so that its slots, its draining, the
@@ -99,6 +103,7 @@
   /// Returns a refusal, or null when the call may run.
   std::unique_ptr<IngressReply> refusal(const IngressCall &Call,
                                         const Upstream &Known) const;
+  IngressReply runUnderBlame(const IngressCall &Call, const Upstream &Known);
   IngressReply runAdmitted(const IngressCall &Call, const Upstream &Known);
   bool startUnderBlame(const IngressCall &Call, MonoTime Deadline,
                        std::string *Detail);
--- a/persimmonquay/node/ingress_api.cc
+++ b/persimmonquay/node/ingress_api.cc
@@ -34,6 +34,8 @@
       parseNumber(findHeader(Request.Headers, PriorityHeader)));
   Call.Remaining =
       Millis(parseNumber(findHeader(Request.Headers, DeadlineHeader)));
+  Call.Deaths = static_cast<std::uint64_t>(
+      internal::parseNumber(findHeader(Request.Headers, DeathsHeader)));
   Call.Fingerprint = parseHex(findHeader(Request.Headers, FingerprintHeader));
   return Call;
 }
@@ -52,6 +54,8 @@
     Reply.Status = internal::Unavailable;
     Reply.Headers.push_back(HeaderField{DetailHeader, Result.Detail});
   }
+  Reply.Headers.push_back(
+      HeaderField{DeathsHeader, Result.UpstreamDied ? "1" : "0"});
   Reply.Headers.push_back(HeaderField{TryHeader, tryEndName(Result.End)});
   Reply.Headers.push_back(HeaderField{LoadHeader, absl::StrCat(Result.Load)});
   Reply.Headers.push_back(
--- a/persimmonquay/node/log_follower.cc
+++ b/persimmonquay/node/log_follower.cc
@@ -93,6 +93,9 @@
   }
   if (!Chunk.ok())
     return Chunk.status();
+  // A process that ran before in this node's place may have served anything
+  // up to the end, so that nothing older is served while catching up.
+  this->Store->raiseFloor(Chunk->EndOffset);
   std::uint64_t Offset = Chunk->FirstOffset;
   for (const std::string &Payload : Chunk->Records) {
     absl::Status Applied = this->Store->applyRecord(Offset, Payload);
@@ -104,6 +107,12 @@
 }
 
 absl::Status LogFollower::loadSnapshot() {
+  // Nothing older than the log's end is served while catching up; see
+  // readOnce().
+  const auto End = this->Log->bounds(ConfigStream, internal::LogTimeout);
+  if (!End.ok())
+    return End.status();
+  this->Store->raiseFloor(End->EndOffset);
   auto Bounds = this->Log->bounds(SnapshotStream, internal::LogTimeout);
   this->Reachable = Bounds.ok();
   if (!Bounds.ok())
--- a/persimmonquay/node/node.cc
+++ b/persimmonquay/node/node.cc
@@ -48,6 +48,8 @@
 private:
   void watchStore();
   absl::Status startServers();
+  HttpLimits callLimits() const;
+  void serveCallersOnceReadyLocked();
   void runEvery(Millis Interval, const std::function<void()> &Work);
   void wakeViews();
   void viewLoop();
@@ -76,6 +78,8 @@
   std::mutex StopMutex;
   std::condition_variable StopWanted;
   bool Stopping = false;
+  bool Draining = false;
+  bool ServesCallers = false;
   bool ViewStale = false;
   std::condition_variable ViewWanted;
   std::vector<std::thread> Threads;
@@ -161,11 +165,16 @@
   return absl::OkStatus();
 }
 
-absl::Status Node::Implementation::startServers() {
-  const std::string &Address = this->Settings.address();
+HttpLimits Node::Implementation::callLimits() const {
   HttpLimits Limits;
   Limits.MaxThreads = this->Settings.caller_threads();
   Limits.MaxBodyBytes = this->Settings.max_body_bytes();
+  return Limits;
+}
+
+absl::Status Node::Implementation::startServers() {
+  const std::string &Address = this->Settings.address();
+  HttpLimits Limits = this->callLimits();
   const auto Port = [](std::uint32_t Value) {
     return static_cast<std::uint16_t>(Value);
   };
@@ -175,10 +184,7 @@
                                 return this->InnerApi.serve(Request);
                               });
   if (Status.ok())
-    Status = this->CallerPort.start(Address, Port(this->Settings.caller_port()),
-                                    Limits, [this](const CallRequest &Request) {
-                                      return this->serveCaller(Request);
-                                    });
+    Status = this->CallerPort.bind(Address, Port(this->Settings.caller_port()));
   if (Status.ok())
     Status =
         this->Operators.start(Address, Port(this->Settings.operator_port()));
@@ -227,9 +233,24 @@
     Lock.unlock();
     this->Views.rebuild(this->Group);
     Lock.lock();
+    this->serveCallersOnceReadyLocked();
   }
 }
 
+void Node::Implementation::serveCallersOnceReadyLocked() {
+  const bool Ready = this->Views.current()->Config != nullptr;
+  if (!Ready || this->ServesCallers || this->Draining)
+    return;
+  const absl::Status Serving = this->CallerPort.serve(
+      this->callLimits(), [this](const CallRequest &Request) {
+        return this->serveCaller(Request);
+      });
+  this->ServesCallers = true;
+  logLine(Serving.ok() ? LogLevel::Info : LogLevel::Error,
+          "callers are served from now on",
+          {{"error", std::string(Serving.message())}});
+}
+
 void Node::Implementation::stop(Millis Timeout) {
   logLine(LogLevel::Info, "stopping", {});
   const MonoTime Deadline = monoNow() + Timeout;
@@ -237,6 +258,10 @@
     return std::max(Millis(0),
                     std::chrono::duration_cast<Millis>(Deadline - monoNow()));
   };
+  {
+    std::lock_guard<std::mutex> Lock(this->StopMutex);
+    this->Draining = true;
+  }
   this->Inner.drain();
   this->CallerPort.closeAfterAnswers();
   std::this_thread::sleep_for(std::min(internal::DrainSpread, Left()));
--- a/persimmonquay/peer/cluster.cc
+++ b/persimmonquay/peer/cluster.cc
@@ -113,6 +113,7 @@
   std::vector<std::string> randomLiveNodes(const std::string &DataCentre,
                                            std::size_t Count);
   std::vector<std::string> pushTargets(std::size_t Count);
+  std::vector<std::string> oneInEachOtherDataCentre();
   std::optional<Address> addressOf(const std::string &Node) const;
   Address addressOf(const proto::Member &Member) const;
   void notify(bool MembersNew, bool FactsNew) const;
@@ -230,6 +231,7 @@
     this->Queue.addFact(Fact);
   }
   this->pingNodes(this->pushTargets(internal::PushFanout));
+  this->pingNodes(this->oneInEachOtherDataCentre());
   this->notify(false, true);
 }
 
@@ -325,6 +327,17 @@
   return Targets;
 }
 
+std::vector<std::string> Cluster::Implementation::oneInEachOtherDataCentre() {
+  const std::vector<std::string> Names = this->query(
+      [](const auto &Table, const auto &) { return Table.dataCentres(); });
+  std::vector<std::string> Targets;
+  for (const std::string &Other : Names)
+    if (Other != this->Settings.data_centre())
+      for (std::string &Node : this->randomLiveNodes(Other, 1))
+        Targets.push_back(std::move(Node));
+  return Targets;
+}
+
 std::optional<internal::PeerAddress>
 Cluster::Implementation::addressOf(const std::string &Node) const {
   std::lock_guard<std::mutex> Lock(this->Mutex);
@@ -493,8 +506,7 @@
     this->Events.EvidenceArrived(Cell);
   this->notify(MembersNew, FactsNew);
   if (FactsNew)
-    this->pingNodes(this->randomLiveNodes(this->Settings.data_centre(),
-                                          internal::SecondPushFanout));
+    this->pingNodes(this->pushTargets(internal::SecondPushFanout));
   this->answer(Message);
   this->considerSync(Message);
 }
@@ -640,7 +652,7 @@
       FactsNew |= this->Facts.merge(Fact, wallNow());
   }
   this->notify(MembersNew, FactsNew);
-  this->Store->raiseFloor(Reply.remembered_next_offset());
+  this->Store->raiseFloor(Reply.floor_next_offset());
   if (Reply.has_state()) {
     const absl::Status Adopted = this->Store->adoptState(Reply.state());
     if (!Adopted.ok())
@@ -661,6 +673,7 @@
   if (!Request.ParseFromString(Bytes))
     return Reply.SerializeAsString();
   this->BytesReceived += Bytes.size();
+  std::uint64_t Floor = this->Store->floor();
   this->Store->fillSync(Request.config_next_offset(), internal::SyncRecordBytes,
                         &Reply);
   {
@@ -679,8 +692,9 @@
         *Reply.add_facts() = std::move(Fact);
     const auto Seen = this->SeenOffsets.find(Request.sender().node());
     if (Seen != this->SeenOffsets.end())
-      Reply.set_remembered_next_offset(Seen->second);
+      Floor = std::max(Floor, Seen->second);
   }
+  Reply.set_floor_next_offset(Floor);
   std::string Answer = Reply.SerializeAsString();
   this->BytesSent += Answer.size();
   return Answer;
@@ -730,6 +744,13 @@
       [&](const auto &, const auto &Known) { return Known.level(Kind, Key); });
 }
 
+std::size_t Cluster::factCount(proto::FactKind Kind,
+                               const std::string &Prefix) const {
+  return this->Impl->query([&](const auto &, const auto &Known) {
+    return Known.countWithPrefix(Kind, Prefix);
+  });
+}
+
 std::vector<proto::Fact> Cluster::facts() const {
   return this->Impl->query(
       [](const auto &, const auto &Known) { return Known.all(); });
--- a/persimmonquay/peer/cluster.h
+++ b/persimmonquay/peer/cluster.h
@@ -83,6 +83,9 @@
   std::uint64_t factLevel(proto::FactKind Kind, const std::string &Key) const;
   std::vector<proto::Fact> facts() const;
 
+  /// See FactTable::countWithPrefix.
+  std::size_t factCount(proto::FactKind Kind, const std::string &Prefix) const;
+
   /// Returns whether this node is among the first `Count` of its data centre
   /// for `Duty`; see MemberTable::hasDuty.
   bool hasDuty(const std::string &Duty, std::size_t Count) const;
--- a/testing/fleet/load.cc
+++ b/testing/fleet/load.cc
@@ -35,6 +35,7 @@
   this->NotRun += Other.NotRun;
   this->Unknown += Other.Unknown;
   this->Broken += Other.Broken;
+  this->Refused += Other.Refused;
   this->Wrong += Other.Wrong;
   for (const auto &[Version, Count] : Other.ByVersion)
     this->ByVersion[Version] += Count;
@@ -105,6 +106,10 @@
   std::string Example =
       absl::StrCat(Node.Address, " ", Target, ": ", Result.Reply.Status, " ",
                    Outcome, " ", Result.Detail, " ", Result.Reply.Body);
+  if (Result.Ended == ExchangeResult::End::NothingSent) {
+    ++Report->Refused;
+    return;
+  }
   if (Result.Ended != ExchangeResult::End::Answered) {
     ++Report->Broken;
   } else if (Outcome == "not-run") {
--- a/testing/fleet/load.h
+++ b/testing/fleet/load.h
@@ -23,8 +23,10 @@
   std::uint64_t Failed = 0;
   std::uint64_t NotRun = 0;
   std::uint64_t Unknown = 0;
-  /// Connections that broke without an answer.
+  /// Connections that broke after the request was sent.
   std::uint64_t Broken = 0;
+  /// Connections that were refused, so that nothing was sent.
+  std::uint64_t Refused = 0;
   /// Answers that belong to another request or are not whole.
   std::uint64_t Wrong = 0;
   std::map<std::string, std::uint64_t> ByVersion;
--- a/testing/stand_ins/link_stand_in.cc
+++ b/testing/stand_ins/link_stand_in.cc
@@ -62,7 +62,7 @@
         continue;
       }
       const int Size = From.receiveBytes(Buffer.data(), Buffer.size());
-      if (Size <= 0)
+      if (Size <= 0 || Through->Cut)
         break;
       delay(*Through);
       To.sendBytes(Buffer.data(), Size);
