Bound what idle connections hold and pace appends of claims; add benchmarks

A thread serves one connection, and idle kept connections held all 128 threads of a node. Change: 512 threads, and while a connection waits for a thread, answers close theirs. Change: an append that the log refuses for its rate waits and takes along what arrives, results travel with claims.

--- a/persimmonquay/node/claim_desk.cc
+++ b/persimmonquay/node/claim_desk.cc
@@ -9,6 +9,7 @@
 namespace internal {
 
 constexpr Millis FlushTimeout{1000};
+constexpr Millis ForgetInterval = std::chrono::minutes(1);
 
 } // namespace internal
 
@@ -45,11 +46,14 @@
 }
 
 void ClaimDesk::flush(WallTime Now) {
-  for (const auto &Stream : this->Streams) {
+  for (const auto &Stream : this->Streams)
     Stream->flush(internal::FlushTimeout);
-    // Twice the lifetime, so that clocks that differ forget nothing in use.
+  if (Now - this->ForgotAt < internal::ForgetInterval)
+    return;
+  this->ForgotAt = Now;
+  // Twice the lifetime, so that clocks that differ forget nothing in use.
+  for (const auto &Stream : this->Streams)
     Stream->forgetCreatedBefore(Now - 2 * this->KeyLifetime);
-  }
 }
 
 } // namespace persimmonquay
--- a/persimmonquay/node/claim_desk.h
+++ b/persimmonquay/node/claim_desk.h
@@ -34,7 +34,8 @@
   /// Queues a release or a result.
   void recordLater(const proto::ClaimEvent &Event);
 
-  /// Writes what is queued on all streams, and forgets old keys.
+  /// Writes what is queued on all streams, and now and then forgets old keys.
+  /// Called by one thread.
   void flush(WallTime Now);
 
 private:
@@ -44,6 +45,7 @@
   const Millis KeyLifetime;
   std::atomic<std::uint64_t> NextAttempt = 1;
   const std::uint64_t Boot;
+  WallTime ForgotAt;
   std::vector<std::unique_ptr<ClaimStream<HttpLogClient>>> Streams;
 };
 
--- a/persimmonquay/node/http_server.cc
+++ b/persimmonquay/node/http_server.cc
@@ -34,7 +34,7 @@
 using Poco::Net::HTTPServerResponse;
 
 /// Longer than clients of ours keep connections idle; see http_pool.cc.
-constexpr Millis KeepAliveTimeout{30000};
+constexpr Millis KeepAliveTimeout{10000};
 constexpr std::size_t MaxTargetBytes = 8192;
 constexpr Millis StopPoll{10};
 /// Time in which idle connections may bring one more request at a stop.
@@ -155,6 +155,12 @@
   HttpServer::Handler Serve;
   std::atomic<bool> Closing = false;
   std::atomic<std::size_t> Active = 0;
+  std::atomic<const Poco::Net::TCPServer *> Server = nullptr;
+
+  bool connectionsWait() const {
+    const Poco::Net::TCPServer *Known = this->Server;
+    return Known != nullptr && Known->queuedConnections() > 0;
+  }
 };
 
 struct ActiveCounter {
@@ -202,7 +208,8 @@
     for (const auto &[Name, Value] : *Request)
       Received.Headers.push_back(HeaderField{Name, Value});
     const CallReply Reply = this->Context->Serve(Received);
-    if (this->Context->Closing)
+    // While connections wait for a thread, none may keep one for itself.
+    if (this->Context->Closing || this->Context->connectionsWait())
       Response->setKeepAlive(false);
     sendReply(Reply, Received.Method != "HEAD", Response);
   }
@@ -295,6 +302,7 @@
     Own.Socket.listen(Backlog);
     Own.Server = std::make_unique<Poco::Net::HTTPServer>(
         Own.Factory, *Own.Threads, Own.Socket, Own.Parameters);
+    Own.Context.Server = Own.Server.get();
     Own.Server->start();
   } catch (const Poco::Exception &Error) {
     return absl::UnavailableError(Error.displayText());
--- a/persimmonquay/node/node.cc
+++ b/persimmonquay/node/node.cc
@@ -30,7 +30,7 @@
 namespace internal {
 
 constexpr Millis DecisionInterval{100};
-constexpr Millis FlushInterval{10};
+constexpr Millis FlushInterval{20};
 /// Time for the news of draining to reach the nodes that choose upstreams.
 constexpr Millis DrainSpread{1000};
 constexpr std::size_t LocalThreads = 8;
--- a/persimmonquay/node/settings.cc
+++ b/persimmonquay/node/settings.cc
@@ -21,7 +21,7 @@
 constexpr std::uint32_t DefaultMaxBodyBytes = 1 << 20;
 constexpr std::uint32_t DefaultSnapshotEveryRecords = 200;
 constexpr std::uint32_t DefaultKeyLifetimeS = 24 * 3600;
-constexpr std::uint32_t DefaultCallerThreads = 128;
+constexpr std::uint32_t DefaultCallerThreads = 512;
 constexpr std::uint32_t MaxPort = 65535;
 constexpr std::uint32_t MinIntervalMs = 50;
 
--- a/persimmonquay/routing/claim_stream.h
+++ b/persimmonquay/routing/claim_stream.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -123,6 +124,8 @@
 private:
   static constexpr Millis AppendTimeout{2000};
   static constexpr Millis ReadTimeout{2000};
+  static constexpr Millis FirstPause{5};
+  static constexpr Millis LongestPause{40};
   static constexpr Millis ReadWait{200};
 
   /// Claims that travel in one append.
@@ -162,16 +165,36 @@
     const std::shared_ptr<Batch> Sent =
         std::exchange(this->Collecting, std::make_shared<Batch>());
     this->Appending = true;
+    const std::vector<proto::ClaimEvent> Queued =
+        std::exchange(this->Later, {});
+    for (const proto::ClaimEvent &Event : Queued)
+      *Sent->Content.add_events() = Event;
     Lock->unlock();
-    auto Offset = this->Client->append(
-        this->Name, Sent->Content.SerializeAsString(), AppendTimeout);
+    const auto Offset = this->appendPaced(Sent->Content.SerializeAsString());
     Lock->lock();
-    Sent->Offset = std::move(Offset);
+    // Writing an event twice is harmless: the ledger takes the first.
+    if (!Offset.ok())
+      this->Later.insert(this->Later.end(), Queued.begin(), Queued.end());
+    Sent->Offset = Offset;
     Sent->Done = true;
     this->Appending = false;
     this->BatchDone.notify_all();
   }
 
+  /// Appends; when the log refuses because of its rate, waits and tries again.
+  /// What arrives meanwhile travels together in the next append.
+  absl::StatusOr<std::uint64_t> appendPaced(const std::string &Payload) {
+    const MonoTime Deadline = monoNow() + AppendTimeout;
+    auto Offset = this->Client->append(this->Name, Payload, AppendTimeout);
+    for (Millis Pause = FirstPause;
+         absl::IsResourceExhausted(Offset.status()) && monoNow() < Deadline;
+         Pause = std::min(2 * Pause, LongestPause)) {
+      std::this_thread::sleep_for(Pause);
+      Offset = this->Client->append(this->Name, Payload, AppendTimeout);
+    }
+    return Offset;
+  }
+
   absl::Status readTo(std::uint64_t Target, MonoTime Deadline) {
     std::lock_guard<std::mutex> Lock(this->ReadMutex);
     while (this->NextOffset <= Target) {
--- a/testing/fleet/fleet.cc
+++ b/testing/fleet/fleet.cc
@@ -3,6 +3,7 @@
 #include "persimmonquay/base/checked_json.h"
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
+#include <algorithm>
 #include <arpa/inet.h>
 #include <csignal>
 #include <cstdlib>
@@ -27,9 +28,9 @@
 constexpr std::uint16_t GuardPort = 6999;
 constexpr std::uint16_t LogPort = 7000;
 constexpr std::uint16_t LinkControlPort = 6998;
-/// Hosts for which a link is prepared, in each data centre.
-constexpr std::size_t LinkedHosts = 24;
-constexpr Millis StartTimeout{30000};
+/// Hosts that may be added in each data centre after the start.
+constexpr std::size_t SpareHosts = 2;
+constexpr Millis StartTimeout{60000};
 
 /// Binds a port so that another test program picks other addresses.
 int bindGuard(const std::string &Address) {
@@ -109,7 +110,8 @@
     File << "log-" << From << " tcp " << this->logAddressFor(From) << " 127."
          << this->Base << ".255.1 " << LogPort << "\n";
     for (std::size_t To = 0; To < this->DataCentres; ++To)
-      for (std::size_t I = 0; To != From && I < LinkedHosts; ++I)
+      for (std::size_t I = 0; To != From && I < this->HostsIn[To] + SpareHosts;
+           ++I)
         for (const char *Line : {"tcp 7002", "tcp 7004", "udp 7004"})
           File << From << "-" << To << " " << std::string(Line, 3) << " "
                << this->linkPrefix(From, To) << ".0." << I + 1 << " "
@@ -213,7 +215,14 @@
     this->startUpstream(Each.get());
   }
   this->Started = true;
-  if (!this->waitForMembers(this->Hosts.size(), StartTimeout))
+  const bool Found =
+      this->waitForMetric("pq_members", this->Hosts.size(), StartTimeout) &&
+      this->waitForMembers(
+          static_cast<std::size_t>(std::count_if(
+              this->Hosts.begin(), this->Hosts.end(),
+              [](const auto &Each) { return !Each->Spec.Service.empty(); })),
+          StartTimeout);
+  if (!Found)
     throw std::runtime_error("the nodes did not find each other; logs in " +
                              this->Directory);
 }
@@ -279,10 +288,15 @@
 }
 
 bool Fleet::waitForMembers(std::size_t Count, Millis Timeout) const {
+  return this->waitForMetric("pq_upstreams", Count, Timeout);
+}
+
+bool Fleet::waitForMetric(const std::string &Name, std::size_t Value,
+                          Millis Timeout) const {
   return eventually(Timeout, [&] {
     for (const auto &Each : this->Hosts)
       if (Each->Node != nullptr &&
-          metricOf(Each->local(), "pq_upstreams") != static_cast<double>(Count))
+          metricOf(Each->local(), Name) != static_cast<double>(Value))
         return false;
     return true;
   });
@@ -310,6 +324,22 @@
   return Result;
 }
 
+std::map<std::uint64_t, WallTime> Fleet::appliedTimes(const Host &Of) {
+  std::map<std::uint64_t, WallTime> Result;
+  for (absl::string_view Line : absl::StrSplit(Of.Node->output(), '\n')) {
+    const auto Value =
+        nlohmann::json::parse(Line.begin(), Line.end(), nullptr, false);
+    if (Value.is_object() && Value["message"] == "configuration applied")
+      Result.emplace(std::stoull(Value["version"].get<std::string>()),
+                     wallTimeFromUnixMillis(Value["unix_ms"]));
+  }
+  return Result;
+}
+
+Place Fleet::logFor(std::size_t DataCentre) const {
+  return {this->logAddressFor(DataCentre), LogPort};
+}
+
 std::map<std::string, int> Fleet::runsOfKeys() const {
   std::map<std::string, int> Result;
   for (const auto &Each : this->Hosts) {
--- a/testing/fleet/fleet.h
+++ b/testing/fleet/fleet.h
@@ -99,12 +99,19 @@
   std::vector<Host *> hostsOf(const std::string &Service,
                               const std::string &Version = "v1") const;
 
-  /// Waits until all running nodes have this many live members.
+  /// Waits until all running nodes know this many upstreams that take calls.
   bool waitForMembers(std::size_t Count, Millis Timeout) const;
 
+  /// Waits until the metric `Name` has this value on all running nodes.
+  bool waitForMetric(const std::string &Name, std::size_t Value,
+                     Millis Timeout) const;
+
   /// Waits until all nodes have applied `Version` or a later one.
   bool waitForVersion(std::uint64_t Version, Millis Timeout) const;
 
+  /// Returns when a node applied each version, from its own log.
+  static std::map<std::uint64_t, WallTime> appliedTimes(const Host &Of);
+
   /// Returns the versions a node has applied, in order, from its own log.
   static std::vector<std::uint64_t> appliedVersions(const Host &Of);
 
@@ -114,6 +121,9 @@
   const std::string &directory() const { return this->Directory; }
   std::string dataCentreName(std::size_t Index) const;
 
+  /// Returns the address by which the hosts of a data centre reach the log.
+  Place logFor(std::size_t DataCentre) const;
+
 private:
   std::string program(const std::string &Name) const;
   std::string addressOf(std::size_t DataCentre, std::size_t Index) const;
--- a/testing/fleet/process.cc
+++ b/testing/fleet/process.cc
@@ -3,6 +3,8 @@
 #include "persimmonquay/base/checked_json.h"
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
+#include <sstream>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
@@ -62,6 +64,38 @@
   return this->ExitCode;
 }
 
+std::chrono::duration<double> Process::processorTime() const {
+  std::ifstream File("/proc/" + std::to_string(this->Id) + "/stat");
+  std::string Text;
+  std::getline(File, Text);
+  std::istringstream Fields(Text.substr(Text.rfind(')') + 2));
+  // The 12th and 13th fields after the name: user and system time.
+  std::string Skipped;
+  for (int I = 0; I < 11; ++I)
+    Fields >> Skipped;
+  double User = 0;
+  double System = 0;
+  Fields >> User >> System;
+  return std::chrono::duration<double>(
+      (User + System) / static_cast<double>(sysconf(_SC_CLK_TCK)));
+}
+
+double Process::statusNumber(const std::string &Name) const {
+  std::ifstream File("/proc/" + std::to_string(this->Id) + "/status");
+  std::string Line;
+  while (std::getline(File, Line))
+    if (Line.starts_with(Name + ":"))
+      return std::stod(Line.substr(Name.size() + 1));
+  return 0;
+}
+
+double Process::residentBytes() const {
+  constexpr double Kilobyte = 1024;
+  return this->statusNumber("VmRSS") * Kilobyte;
+}
+
+double Process::threads() const { return this->statusNumber("Threads"); }
+
 std::string Process::output() const {
   std::string Text;
   (void)readFile(this->OutputPath, &Text);
--- a/testing/fleet/process.h
+++ b/testing/fleet/process.h
@@ -25,10 +25,19 @@
   /// when it hasn't ended by `Timeout`.
   std::optional<int> wait(Millis Timeout);
 
+  /// Returns the processor time used so far.
+  std::chrono::duration<double> processorTime() const;
+
+  /// Returns the resident memory in bytes and the number of threads.
+  double residentBytes() const;
+  double threads() const;
+
   pid_t id() const { return this->Id; }
   std::string output() const;
 
 private:
+  double statusNumber(const std::string &Name) const;
+
   pid_t Id = -1;
   std::optional<int> ExitCode;
   std::string OutputPath;
