--- a/persimmonquay/membership/member_table.cc
+++ b/persimmonquay/membership/member_table.cc
@@ -3,7 +3,6 @@
 #include "persimmonquay/base/hashing.h"
 #include <absl/strings/str_cat.h>
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace persimmonquay {
@@ -37,21 +36,31 @@
 void MemberTable::store(const proto::Member &Member, MonoTime Now) {
   std::uint64_t &Bucket = this->Buckets[internal::bucketOf(Member.node())];
   const auto Found = this->Entries.find(Member.node());
-  if (Found != this->Entries.end())
+  if (Found != this->Entries.end()) {
     Bucket ^= internal::hashMember(Found->second.Member);
+    this->index(Found->second.Member, false);
+  }
   Bucket ^= internal::hashMember(Member);
+  this->index(Member, internal::isLive(Member));
   this->Entries[Member.node()] = Entry{Member, Now};
 }
 
+void MemberTable::index(const proto::Member &Member, bool IsLive) {
+  std::set<std::string> &Names = this->Live[Member.data_centre()];
+  if (IsLive)
+    Names.insert(Member.node());
+  else
+    Names.erase(Member.node());
+  if (Names.empty())
+    this->Live.erase(Member.data_centre());
+}
+
 bool MemberTable::merge(const proto::Member &Heard, MonoTime Now) {
   if (Heard.node().empty())
     return false;
   if (Heard.node() == this->OwnNode) {
     const proto::Member &Own = this->self();
-    const bool Contradicts = internal::isNewer(Heard, Own) &&
-                             (Heard.state() != Own.state() ||
-                              Heard.incarnation() > Own.incarnation());
-    if (!Contradicts)
+    if (!internal::isNewer(Heard, Own))
       return false;
     proto::Member Raised = Own;
     Raised.set_incarnation(Heard.incarnation() + 1);
@@ -123,20 +132,17 @@
 
 std::vector<std::string>
 MemberTable::liveNodes(std::string_view DataCentre) const {
-  std::vector<std::string> Result;
-  for (const auto &[Node, Entry] : this->Entries)
-    if (internal::isLive(Entry.Member) &&
-        Entry.Member.data_centre() == DataCentre)
-      Result.push_back(Node);
-  return Result;
+  const auto Found = this->Live.find(DataCentre);
+  if (Found == this->Live.end())
+    return {};
+  return {Found->second.begin(), Found->second.end()};
 }
 
 std::vector<std::string> MemberTable::dataCentres() const {
-  std::set<std::string> Names;
-  for (const auto &[Node, Entry] : this->Entries)
-    if (internal::isLive(Entry.Member))
-      Names.insert(Entry.Member.data_centre());
-  return {Names.begin(), Names.end()};
+  std::vector<std::string> Names;
+  for (const auto &[DataCentre, Nodes] : this->Live)
+    Names.push_back(DataCentre);
+  return Names;
 }
 
 std::uint64_t MemberTable::hash() const {
@@ -163,7 +169,8 @@
     return false;
   const std::uint64_t Own = rendezvousWeight(Duty, Node);
   std::size_t Higher = 0;
-  for (const std::string &Other : this->liveNodes(Candidate->data_centre()))
+  for (const std::string &Other :
+       this->Live.find(Candidate->data_centre())->second)
     if (rendezvousWeight(Duty, Other) > Own)
       ++Higher;
   return Higher < Count;
--- a/persimmonquay/membership/member_table.h
+++ b/persimmonquay/membership/member_table.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -60,6 +61,8 @@
   /// Returns the entry of `Node`, or null.
   const proto::Member *find(std::string_view Node) const;
 
+  std::size_t size() const { return this->Entries.size(); }
+
   /// Returns all entries, sorted by node.
   std::vector<proto::Member> all() const;
 
@@ -92,8 +95,12 @@
 
   void store(const proto::Member &Member, MonoTime Now);
 
+  void index(const proto::Member &Member, bool Live);
+
   std::string OwnNode;
   std::map<std::string, Entry, std::less<>> Entries;
+  /// Names of the members alive or suspect, by data centre.
+  std::map<std::string, std::set<std::string>, std::less<>> Live;
   MemberBuckets Buckets{};
 };
 
--- a/persimmonquay/node/http_pool.cc
+++ b/persimmonquay/node/http_pool.cc
@@ -5,12 +5,15 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/SocketImpl.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Timespan.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <istream>
+#include <sys/socket.h>
 #include <utility>
 
 namespace persimmonquay {
@@ -73,6 +76,16 @@
   return "";
 }
 
+/// Returns whether an idle connection is open and holds no stray bytes. One
+/// call in place of the library's poll(), which opens and closes an epoll
+/// object each time.
+bool isQuiet(const Poco::Net::StreamSocket &Socket) {
+  char Byte = 0;
+  const auto Received = ::recv(Socket.impl()->sockfd(), &Byte, 1,
+                               MSG_PEEK | MSG_DONTWAIT);
+  return Received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 std::unique_ptr<HTTPClientSession> connect(const std::string &Address,
                                            std::uint16_t Port, Millis Timeout) {
   Poco::Net::StreamSocket Socket;
@@ -160,10 +173,7 @@
     IdleSession Newest = std::move(Kept.back());
     Kept.pop_back();
     const bool Fresh = monoNow() - Newest.Since < internal::MaxIdle;
-    // An idle connection that can be read was closed by the other side.
-    const bool Open = !Newest.Connection->socket().poll(
-        Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
-    if (Fresh && Open)
+    if (Fresh && internal::isQuiet(Newest.Connection->socket()))
       return std::move(Newest.Connection);
   }
   return nullptr;
--- a/persimmonquay/node/http_server.cc
+++ b/persimmonquay/node/http_server.cc
@@ -132,11 +132,13 @@
       static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Reply.Status));
   for (const HeaderField &Field : Reply.Headers)
     Response->add(Field.Name, Field.Value);
+  if (WithBody) {
+    // Head and body leave together, so that the receiver wakes up once.
+    Response->sendBuffer(Reply.Body.data(), Reply.Body.size());
+    return;
+  }
   Response->setContentLength64(static_cast<Poco::Int64>(Reply.Body.size()));
-  std::ostream &Stream = Response->send();
-  if (WithBody)
-    Stream << Reply.Body;
-  Stream.flush();
+  Response->send().flush();
 }
 
 CallReply refusalOf(const IntakeError &Error) {
--- a/persimmonquay/node/log_follower.cc
+++ b/persimmonquay/node/log_follower.cc
@@ -11,7 +11,12 @@
 namespace internal {
 
 constexpr char ReaderDuty[] = "log-reader";
-constexpr char SnapshotDuty[] = "snapshot-writer";
+/// How often a node that knows no other looks for one on the log, and how many
+/// of the newest records it tries.
+constexpr Millis JoinInterval{2000};
+constexpr std::uint64_t MembersRead = 40;
+/// How often a data centre's address on the log is renewed.
+constexpr Millis MemberInterval = std::chrono::minutes(2);
 constexpr std::size_t Readers = 2;
 constexpr Millis LongPoll{2000};
 constexpr Millis LogTimeout{2000};
@@ -67,9 +72,48 @@
       continue;
     }
     this->writeSnapshotIfDue(monoNow());
+    this->joinThroughLog(monoNow());
+    this->writeMemberIfDue(monoNow());
   }
 }
 
+void LogFollower::joinThroughLog(MonoTime Now) {
+  if (this->Group->hasPeers() ||
+      Now - this->LastJoinAt < internal::JoinInterval)
+    return;
+  this->LastJoinAt = Now;
+  const auto Bounds = this->Log->bounds(MemberStream, internal::LogTimeout);
+  if (!Bounds.ok() || Bounds->EndOffset == Bounds->OldestOffset)
+    return;
+  const std::uint64_t From = std::max(
+      Bounds->OldestOffset,
+      Bounds->EndOffset - std::min(Bounds->EndOffset, internal::MembersRead));
+  const auto Chunk =
+      this->Log->read(MemberStream, From, Millis(0), internal::LogTimeout);
+  if (!Chunk.ok())
+    return;
+  std::vector<proto::Member> Known;
+  for (const std::string &Payload : Chunk->Records) {
+    proto::Member Member;
+    if (Member.ParseFromString(Payload))
+      Known.push_back(std::move(Member));
+  }
+  this->Group->join(Known);
+}
+
+void LogFollower::writeMemberIfDue(MonoTime Now) {
+  const bool Due = this->LastMemberAt == MonoTime() ||
+                   Now - this->LastMemberAt > internal::MemberInterval;
+  if (!Due || !this->Group->hasDuty(internal::ReaderDuty, 1))
+    return;
+  this->LastMemberAt = Now;
+  const auto Offset =
+      this->Log->append(MemberStream, this->Group->self().SerializeAsString(),
+                        internal::LogTimeout);
+  if (!Offset.ok())
+    this->LastMemberAt = MonoTime();
+}
+
 absl::Status LogFollower::readOnce(Millis Wait) {
   if (this->Store->nextOffset() == 0 && !this->SnapshotTried) {
     absl::Status Loaded = this->loadSnapshot();
@@ -148,7 +192,7 @@
                    Now - this->LastSnapshotAt > internal::SnapshotInterval;
   if (this->LastSnapshotAt == MonoTime())
     this->LastSnapshotAt = Now;
-  if ((!Grown && !Old) || !this->Group->hasDuty(internal::SnapshotDuty, 1))
+  if ((!Grown && !Old) || !this->Group->hasDuty(internal::ReaderDuty, 1))
     return;
   // Another data centre's writer may have been faster.
   if (!Old && this->loadSnapshot().ok() &&
--- a/persimmonquay/node/log_follower.h
+++ b/persimmonquay/node/log_follower.h
@@ -21,10 +21,13 @@
 /// Names of the streams on the log.
 inline constexpr char ConfigStream[] = "config";
 inline constexpr char SnapshotStream[] = "snapshots";
+inline constexpr char MemberStream[] = "members";
 
 /// While this node has the duty of a log reader in its data centre, follows the
 /// `config` stream, starting from the newest snapshot, and writes snapshots.
-/// Other nodes get the records from their peers.
+/// Other nodes get the records from their peers. One node of each data centre
+/// keeps its address on the `members` stream, where nodes that know no other
+/// find it.
 ///
 /// Thread-safe. Example:
 ///   LogFollower Follower(&Log, &Store, &Group, SnapshotEvery);
@@ -62,6 +65,8 @@
   absl::Status readOnce(Millis Wait);
   absl::Status loadSnapshot();
   void writeSnapshotIfDue(MonoTime Now);
+  void joinThroughLog(MonoTime Now);
+  void writeMemberIfDue(MonoTime Now);
   void pause(Millis Time);
 
   HttpLogClient *const Log;
@@ -76,6 +81,8 @@
   bool SnapshotTried = false;
   std::uint64_t LastSnapshotOffset = 0;
   MonoTime LastSnapshotAt{};
+  MonoTime LastJoinAt{};
+  MonoTime LastMemberAt{};
   std::thread Worker;
 };
 
--- a/persimmonquay/peer/cluster.h
+++ b/persimmonquay/peer/cluster.h
@@ -72,6 +72,9 @@
   void sendEvidence(const std::vector<proto::EvidenceCell> &Cells,
                     const std::vector<std::string> &Nodes);
 
+  /// Pings the members named elsewhere, so that both learn of each other.
+  void join(const std::vector<proto::Member> &Known);
+
   /// Tells some peers at once that the configuration has changed. May be
   /// called from inside the store's observer.
   void announceConfig();
@@ -79,6 +82,10 @@
   // Queries.
 
   proto::Member self() const;
+
+  /// Returns whether this node knows any other.
+  bool hasPeers() const;
+
   std::vector<proto::Member> members() const;
   std::uint64_t factLevel(proto::FactKind Kind, const std::string &Key) const;
   std::vector<proto::Fact> facts() const;
--- a/testing/failures/configuration_failures_test.cc
+++ b/testing/failures/configuration_failures_test.cc
@@ -144,6 +144,27 @@
   Running.requireNoneWentBack();
 }
 
+TEST_CASE("a data centre of many nodes writes snapshots too") {
+  Fleet Running(1, "\"snapshot_every_records\": 1");
+  for (int I = 0; I < 8; ++I)
+    Running.addHost({0, ""});
+  Running.startAll();
+  REQUIRE(Running.publish(Running.host(0), SmallFleet::resources(1)).ExitCode ==
+          0);
+  CHECK(
+      eventually(Patience, [&] { return Running.recordsOf("snapshots") > 0; }));
+}
+
+TEST_CASE("nodes that are told of no other find each other through the log") {
+  Fleet Running(2, "", Fleet::Seeds::None);
+  for (std::size_t I = 0; I < 6; ++I)
+    Running.addHost({I % 2, ""});
+  // Waits until every node knows all.
+  Running.startAll();
+  // Writing is bounded: about one address for each node at the start.
+  CHECK(Running.recordsOf("members") <= 12);
+}
+
 TEST_CASE("a slow log delays a change but loses nothing") {
   SmallFleet Running;
   Running.startAll();
--- a/testing/fleet/fleet.cc
+++ b/testing/fleet/fleet.cc
@@ -47,9 +47,9 @@
 
 } // namespace
 
-Fleet::Fleet(std::size_t DataCentres, std::string ExtraSettings)
+Fleet::Fleet(std::size_t DataCentres, std::string ExtraSettings, Seeds Wanted)
     : DataCentres(DataCentres), ExtraSettings(std::move(ExtraSettings)),
-      HostsIn(DataCentres, 0) {
+      Wanted(Wanted), HostsIn(DataCentres, 0) {
   for (int First = FirstNumber;
        First + NumbersPerFleet <= LastNumber && this->GuardSocket < 0;
        First += NumbersPerFleet) {
@@ -144,27 +144,30 @@
 
 std::string Fleet::settingsOf(const Host &Of) const {
   const std::size_t Own = Of.Spec.DataCentre;
-  std::string Seeds;
+  std::string SeedList;
   std::string Translations;
   constexpr std::size_t SeedsPerDataCentre = 2;
   for (std::size_t I = 0; I < SeedsPerDataCentre; ++I)
-    absl::StrAppend(&Seeds, Seeds.empty() ? "" : ", ", "\"",
+    absl::StrAppend(&SeedList, SeedList.empty() ? "" : ", ", "\"",
                     this->addressOf(Own, I), ":7004\"");
   for (std::size_t To = 0; To < this->DataCentres; ++To) {
     if (To == Own)
       continue;
-    absl::StrAppend(&Seeds, ", \"", this->linkPrefix(Own, To), ".0.1:7004\"");
+    absl::StrAppend(&SeedList, ", \"", this->linkPrefix(Own, To),
+                    ".0.1:7004\"");
     absl::StrAppend(&Translations, Translations.empty() ? "" : ", ",
                     "{\"data_centre\": \"", this->dataCentreName(To),
                     "\", \"prefix\": \"", this->linkPrefix(Own, To), "\"}");
   }
+  if (this->Wanted == Seeds::None)
+    SeedList.clear();
   return absl::StrCat(
       "{\n  \"node\": \"", Of.Name, "\",\n  \"data_centre\": \"",
       this->dataCentreName(Own), "\",\n  \"address\": \"", Of.Address,
       "\",\n  \"caller_port\": 7001, \"ingress_port\": 7002, "
       "\"local_port\": 7003, \"peer_port\": 7004, \"operator_port\": 7005,\n"
       "  \"log_url\": \"http://",
-      this->logAddressFor(Own), ":", LogPort, "\",\n  \"seeds\": [", Seeds,
+      this->logAddressFor(Own), ":", LogPort, "\",\n  \"seeds\": [", SeedList,
       "],\n  \"translations\": [", Translations, "],\n  \"trace_file\": \"",
       this->Directory, "/", Of.Name, ".trace\"",
       this->ExtraSettings.empty() ? "" : ",\n  ", this->ExtraSettings, "\n}\n");
@@ -232,6 +235,17 @@
           "/control?" + Query);
 }
 
+double Fleet::recordsOf(const std::string &Stream) const {
+  const auto Value = nlohmann::json::parse(
+      request({absl::StrCat("127.", this->Base, ".255.1"), LogPort}, "POST",
+              "/control")
+          .Reply.Body,
+      nullptr, false);
+  return Value.is_object() && Value.contains("streams")
+             ? Value["streams"].value(Stream, 0.0)
+             : 0.0;
+}
+
 void Fleet::controlLink(const std::string &Link,
                         const std::string &Query) const {
   request({absl::StrCat("127.", this->Base, ".255.1"), LinkControlPort}, "POST",
--- a/testing/fleet/fleet.h
+++ b/testing/fleet/fleet.h
@@ -54,7 +54,11 @@
 ///   Running.startAll();
 class Fleet {
 public:
-  explicit Fleet(std::size_t DataCentres, std::string ExtraSettings = "");
+  /// Whether nodes are told of others by their settings.
+  enum class Seeds { Given, None };
+
+  explicit Fleet(std::size_t DataCentres, std::string ExtraSettings = "",
+                 Seeds Wanted = Seeds::Given);
   Fleet(const Fleet &) = delete;
   Fleet &operator=(const Fleet &) = delete;
   ~Fleet();
@@ -72,6 +76,9 @@
 
   /// Sends a fault to a stand-in.
   void controlLog(const std::string &Query) const;
+
+  /// Returns the number of records that were ever appended to a stream.
+  double recordsOf(const std::string &Stream) const;
   void controlLink(const std::string &Link, const std::string &Query) const;
   static void controlUpstream(const Host &To, const std::string &Query);
 
@@ -135,6 +142,7 @@
 
   std::size_t DataCentres;
   std::string ExtraSettings;
+  Seeds Wanted;
   int Base = 0;
   int GuardSocket = -1;
   std::string Directory;
--- a/testing/stand_ins/stand_in_server.cc
+++ b/testing/stand_ins/stand_in_server.cc
@@ -82,8 +82,7 @@
               const std::string &Text) {
   Response.setStatusAndReason(
       static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status));
-  Response.setContentLength64(static_cast<Poco::Int64>(Text.size()));
-  Response.send() << Text << std::flush;
+  Response.sendBuffer(Text.data(), Text.size());
 }
 
 std::map<std::string, std::string> parseOptions(int Count, char **Words) {
--- /dev/null
+++ b/testing/traces/replayer.cc
@@ -0,0 +1,85 @@
+#include "testing/traces/replayer.h"
+
+#include "persimmonquay/config/acceptance.h"
+#include "persimmonquay/move/evidence_table.h"
+#include "persimmonquay/move/move_policy.h"
+#include "proto/configuration.pb.h"
+#include "proto/peer.pb.h"
+#include <fstream>
+#include <google/protobuf/util/json_util.h>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace persimmonquay::testing {
+namespace {
+
+constexpr char MoveName[] = "m";
+
+template <typename Message> Message parse(const nlohmann::json &Data) {
+  Message Result;
+  (void)google::protobuf::util::JsonStringToMessage(Data.dump(), &Result);
+  return Result;
+}
+
+/// The deciding parts of one node.
+class ReplayedNode {
+public:
+  void apply(const proto::StreamRecord &Recorded, ReplayResult *Result) {
+    if (Recorded.offset() < this->State.next_offset())
+      return;
+    proto::LogRecord Record;
+    Record.ParseFromString(Recorded.payload());
+    applyRecord(Recorded.offset(), Record, &this->State);
+    ++Result->ConfigRecords;
+    Result->Versions.push_back(this->State.version());
+    Result->ReferencesAlwaysClosed &= checkClosure(this->State).ok();
+    const auto Move = this->State.moves().find(MoveName);
+    if (Move == this->State.moves().end())
+      return;
+    Result->MoveEnds = proto::MoveState_Name(Move->second.state());
+    if (!this->Policy)
+      this->Policy = MovePolicy::Builder(Move->second.move()).build();
+  }
+
+  void merge(const proto::EvidenceCell &Cell, WallTime Now,
+             ReplayResult *Result) {
+    if (!this->Evidence.merge(Cell, Now) || !this->Policy)
+      return;
+    ++Result->EvidenceCells;
+    const MoveDecision Decision = this->Policy->decide(
+        this->Evidence, MoveProgress(), VersionCapacity{1, 1}, Now);
+    if (Decision.Action != MoveDecision::Kind::TakeBack ||
+        Result->PolicyTakesBack)
+      return;
+    Result->PolicyTakesBack = true;
+    Result->Reason = Decision.Reason;
+  }
+
+private:
+  proto::ConfigurationState State;
+  EvidenceTable Evidence{MoveName, "replayer", 0};
+  std::optional<MovePolicy> Policy;
+};
+
+} // namespace
+
+ReplayResult replayTrace(const std::string &Path) {
+  ReplayResult Result;
+  std::ifstream File(Path);
+  std::string Line;
+  std::getline(File, Line);
+  const auto Stated = nlohmann::json::parse(Line);
+  Result.Stated = {Stated["condition"], Stated["move_ends"]};
+  ReplayedNode Node;
+  while (std::getline(File, Line)) {
+    const auto Event = nlohmann::json::parse(Line);
+    const WallTime Now = wallTimeFromUnixMillis(Event["unix_ms"]);
+    if (Event["event"] == "config-record")
+      Node.apply(parse<proto::StreamRecord>(Event["data"]), &Result);
+    else if (Event["event"] == "evidence")
+      Node.merge(parse<proto::EvidenceCell>(Event["data"]), Now, &Result);
+  }
+  return Result;
+}
+
+} // namespace persimmonquay::testing
