--- a/persimmonquay/config/serving_configuration.cc
+++ b/persimmonquay/config/serving_configuration.cc
@@ -14,6 +14,8 @@
     MoveOfService[Move.move().service()] = Shared;
     Result->Moves.push_back(std::move(Shared));
   }
+  for (const auto &[Name, Service] : State.services())
+    Result->Services[Name] = Service.service();
   for (const auto &[Name, Route] : State.routes()) {
     const std::string &Service = Route.route().service();
     const auto Found = State.services().find(Service);
@@ -27,6 +29,12 @@
   return Result;
 }
 
+const proto::Service *
+ServingConfiguration::findService(const std::string &Name) const {
+  const auto Found = this->Services.find(Name);
+  return Found == this->Services.end() ? nullptr : &Found->second;
+}
+
 const ServingConfiguration::Target *
 ServingConfiguration::findRoute(std::string_view Path) const {
   std::string_view Prefix = Path;
--- a/persimmonquay/config/serving_configuration.h
+++ b/persimmonquay/config/serving_configuration.h
@@ -37,6 +37,9 @@
   /// segment boundary, or null. The pointer lives as long as this object.
   const Target *findRoute(std::string_view Path) const;
 
+  /// Returns the service, or null. The pointer lives as long as this object.
+  const proto::Service *findService(const std::string &Name) const;
+
   /// Returns the active moves.
   const std::vector<std::shared_ptr<const proto::Move>> &moves() const {
     return this->Moves;
@@ -49,6 +52,7 @@
 
   std::uint64_t Version = 0;
   std::map<std::string, Target, std::less<>> ByPrefix;
+  std::map<std::string, proto::Service> Services;
   std::vector<std::shared_ptr<const proto::Move>> Moves;
 };
 
--- a/persimmonquay/move/evidence_table.cc
+++ b/persimmonquay/move/evidence_table.cc
@@ -8,6 +8,7 @@
 
 constexpr Millis MaxSpanDistance = std::chrono::hours(1);
 constexpr std::size_t MaxCells = 100000;
+constexpr std::int64_t SpansJoined = 12;
 
 void addCell(const proto::EvidenceCell &Cell, VersionCounts *Counts) {
   Counts->Calls += static_cast<double>(Cell.calls());
@@ -74,6 +75,21 @@
   return true;
 }
 
+void EvidenceTable::compact(WallTime Now) {
+  const CellKey Newest{spanOf(Now - internal::MaxSpanDistance), "", false, "",
+                       0};
+  const auto End = this->Cells.lower_bound(Newest);
+  for (auto It = this->Cells.begin(); It != End; ++It) {
+    const proto::EvidenceCell &Cell = It->second;
+    const std::int64_t First =
+        Cell.span() - Cell.span() % internal::SpansJoined;
+    SpanCounts &Counts = this->Compacted[Cell.route()][First];
+    Counts.Span = First;
+    internal::addCell(Cell, Cell.to_new_version() ? &Counts.New : &Counts.Old);
+  }
+  this->Cells.erase(this->Cells.begin(), End);
+}
+
 std::vector<proto::EvidenceCell>
 EvidenceTable::ownCells(WallTime Now, std::int64_t Back) const {
   std::vector<proto::EvidenceCell> Result;
@@ -86,6 +102,9 @@
 
 std::map<std::string, std::vector<SpanCounts>> EvidenceTable::byRoute() const {
   std::map<std::string, std::vector<SpanCounts>> Result;
+  for (const auto &[Route, Spans] : this->Compacted)
+    for (const auto &[First, Counts] : Spans)
+      Result[Route].push_back(Counts);
   for (const auto &[Key, Cell] : this->Cells) {
     std::vector<SpanCounts> &Spans = Result[Cell.route()];
     if (Spans.empty() || Spans.back().Span != Cell.span())
@@ -98,6 +117,11 @@
 
 double EvidenceTable::newCallsSince(WallTime Since) const {
   double Calls = 0;
+  const std::int64_t FirstJoined =
+      spanOf(Since) - spanOf(Since) % internal::SpansJoined;
+  for (const auto &[Route, Spans] : this->Compacted)
+    for (auto It = Spans.lower_bound(FirstJoined); It != Spans.end(); ++It)
+      Calls += It->second.New.Calls;
   const CellKey From{spanOf(Since), "", false, "", 0};
   for (auto It = this->Cells.lower_bound(From); It != this->Cells.end(); ++It)
     if (It->second.to_new_version())
@@ -107,6 +131,11 @@
 
 VersionCounts EvidenceTable::newTotals() const {
   VersionCounts Totals;
+  for (const auto &[Route, Spans] : this->Compacted)
+    for (const auto &[First, Counts] : Spans) {
+      Totals.Calls += Counts.New.Calls;
+      Totals.Errors += Counts.New.Errors;
+    }
   for (const auto &[Key, Cell] : this->Cells)
     if (Cell.to_new_version())
       internal::addCell(Cell, &Totals);
--- a/persimmonquay/move/evidence_table.h
+++ b/persimmonquay/move/evidence_table.h
@@ -66,6 +66,10 @@
   /// hour from `Now` are ignored.
   bool merge(const proto::EvidenceCell &Cell, WallTime Now);
 
+  /// Adds up the cells of spans more than an hour old, which can't change any
+  /// more, over nodes and over a minute, so that long moves need little memory.
+  void compact(WallTime Now);
+
   // Queries.
 
   /// Returns this node's cells of the current span and the `Back` before it.
@@ -92,6 +96,8 @@
   std::string Node;
   std::uint64_t Boot;
   std::map<CellKey, proto::EvidenceCell> Cells;
+  /// What `compact()` added up, by route and by the first span.
+  std::map<std::string, std::map<std::int64_t, SpanCounts>> Compacted;
 };
 
 } // namespace persimmonquay
--- a/persimmonquay/move/move_test.cc
+++ b/persimmonquay/move/move_test.cc
@@ -106,6 +106,25 @@
   CHECK(Receiver.newTotals().Calls == 20);
 }
 
+TEST_CASE("compacting old spans keeps the counts and the verdict") {
+  EvidenceTable Whole("m", "a", 1);
+  EvidenceTable Short("m", "a", 1);
+  const WallTime End = Start + std::chrono::hours(3);
+  for (WallTime Now = Start; Now < End; Now += std::chrono::minutes(1))
+    for (EvidenceTable *Each : {&Whole, &Short})
+      countCalls(Each, Now, 20, 1, 5, 1);
+  Short.compact(End);
+  CHECK(Short.byRoute().at("r").size() < Whole.byRoute().at("r").size() + 1);
+  CHECK(Short.newTotals().Calls == Whole.newTotals().Calls);
+  CHECK(Short.newTotals().Errors == Whole.newTotals().Errors);
+  CHECK(Short.newCallsSince(Start) == Whole.newCallsSince(Start));
+  const double Before =
+      errorEvidence(Whole.byRoute().at("r"), HarmLimits(), 2000).logHarm();
+  const double After =
+      errorEvidence(Short.byRoute().at("r"), HarmLimits(), 2000).logHarm();
+  CHECK(After == doctest::Approx(Before).epsilon(0.01));
+}
+
 TEST_CASE("evidence of another move, of oneself or of another day is ignored") {
   EvidenceTable Receiver("m", "b", 1);
   EvidenceTable Other("n", "a", 1);
--- a/persimmonquay/node/http_pool.cc
+++ b/persimmonquay/node/http_pool.cc
@@ -23,6 +23,9 @@
 constexpr Millis MaxIdle{5000};
 constexpr std::size_t MaxIdlePerPlace = 64;
 constexpr Millis ConnectTimeout{1000};
+/// The library sends a head of this size at once.
+constexpr std::size_t MaxHeadInOnePiece = 2048;
+constexpr std::size_t HeaderFieldOverhead = 4;
 constexpr std::size_t MaxReplyBytes = 16 << 20;
 /// Longer than any idle time, so that the library never reconnects by itself.
 constexpr long LibraryKeepAliveSeconds = 3600;
@@ -81,8 +84,8 @@
 /// object each time.
 bool isQuiet(const Poco::Net::StreamSocket &Socket) {
   char Byte = 0;
-  const auto Received = ::recv(Socket.impl()->sockfd(), &Byte, 1,
-                               MSG_PEEK | MSG_DONTWAIT);
+  const auto Received =
+      ::recv(Socket.impl()->sockfd(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return Received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
@@ -98,6 +101,45 @@
   return Session;
 }
 
+Poco::Net::HTTPRequest headOf(const CallRequest &Request,
+                              const std::string &Address, std::uint16_t Port) {
+  Poco::Net::HTTPRequest Head(Request.Method, Request.Target,
+                              Poco::Net::HTTPMessage::HTTP_1_1);
+  for (const HeaderField &Field : Request.Headers)
+    Head.add(Field.Name, Field.Value);
+  Head.setHost(Address, Port);
+  Head.setKeepAlive(true);
+  Head.setContentLength64(static_cast<Poco::Int64>(Request.Body.size()));
+  return Head;
+}
+
+/// Sends the head and returns the stream for the body.
+std::ostream *sendHead(const Poco::Net::HTTPRequest &Head, Millis Timeout,
+                       HTTPClientSession *Session) {
+  // The session's own timeouts take effect only when it connects by itself.
+  Session->socket().setReceiveTimeout(toPoco(Timeout));
+  Session->socket().setSendTimeout(toPoco(Timeout));
+  Poco::Net::HTTPRequest Copy(Head);
+  return &Session->sendRequest(Copy);
+}
+
+/// Sends the head over a kept connection. Returns null when the other side had
+/// closed it: a head that leaves in one piece was then not sent at all, and may
+/// go over another connection. A longer head needs a new connection anyway.
+std::ostream *sendHeadOnKept(const Poco::Net::HTTPRequest &Head, Millis Timeout,
+                             HTTPClientSession *Session) {
+  std::size_t Bytes = Head.getMethod().size() + Head.getURI().size();
+  for (const auto &[Name, Value] : Head)
+    Bytes += Name.size() + Value.size() + HeaderFieldOverhead;
+  if (Bytes > MaxHeadInOnePiece)
+    return nullptr;
+  try {
+    return sendHead(Head, Timeout, Session);
+  } catch (const Poco::Exception &) {
+    return nullptr;
+  }
+}
+
 } // namespace internal
 
 HttpPool::HttpPool() = default;
@@ -109,13 +151,21 @@
                                   Connection Wanted) {
   const std::string Place = absl::StrCat(Address, ":", Port);
   const MonoTime Deadline = monoNow() + Timeout;
+  const Poco::Net::HTTPRequest Head = internal::headOf(Request, Address, Port);
   ExchangeResult Result;
   std::unique_ptr<Session> Link;
-  if (Wanted == Connection::Any)
+  std::ostream *Body = nullptr;
+  if (Wanted == Connection::Any) {
     Link = this->takeIdle(Place);
+    if (Link != nullptr)
+      Body = internal::sendHeadOnKept(Head, Timeout, Link.get());
+  }
   try {
-    if (Link == nullptr)
+    if (Body == nullptr) {
       Link = internal::connect(Address, Port, Timeout);
+      Result.Ended = internal::End::AnswerLost;
+      Body = internal::sendHead(Head, Timeout, Link.get());
+    }
   } catch (const Poco::Exception &Error) {
     Result.Detail = absl::StrCat(Place, ": ", Error.displayText());
     return Result;
@@ -123,17 +173,7 @@
   Result.Ended = internal::End::AnswerLost;
   bool KeepAlive = false;
   try {
-    // The session's own timeouts take effect only when it connects by itself.
-    Link->socket().setReceiveTimeout(internal::toPoco(Timeout));
-    Link->socket().setSendTimeout(internal::toPoco(Timeout));
-    Poco::Net::HTTPRequest Head(Request.Method, Request.Target,
-                                Poco::Net::HTTPMessage::HTTP_1_1);
-    for (const HeaderField &Field : Request.Headers)
-      Head.add(Field.Name, Field.Value);
-    Head.setHost(Address, Port);
-    Head.setKeepAlive(true);
-    Head.setContentLength64(static_cast<Poco::Int64>(Request.Body.size()));
-    Link->sendRequest(Head) << Request.Body << std::flush;
+    *Body << Request.Body << std::flush;
     Result.Detail = internal::receive(Link.get(), Request.Method, Deadline,
                                       &Result.Reply, &KeepAlive);
   } catch (const Poco::TimeoutException &) {
--- a/persimmonquay/node/ingress.cc
+++ b/persimmonquay/node/ingress.cc
@@ -62,8 +62,11 @@
   if (!Valid.ok())
     return Valid;
   const auto Before = this->known();
-  if (Before != nullptr && Before->Last.Boot != Heard.Boot)
+  if (Before != nullptr && Before->Last.Boot != Heard.Boot) {
+    if (!Before->Last.Draining)
+      this->countDeath(*Before);
     this->upstreamDied(Before->Last.Boot);
+  }
   std::lock_guard<std::mutex> Lock(this->Mutex);
   auto Next = std::make_shared<Upstream>();
   Next->Last = Heard;
@@ -219,6 +222,10 @@
 IngressReply Ingress::runAdmitted(const IngressCall &Call,
                                   const Upstream &Known) {
   const MonoTime StartedAt = monoNow();
+  {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    this->NewestRoute = Call.Route;
+  }
   CallRequest Forwarded = Call.Request;
   Forwarded.Headers = endToEndHeaders(Call.Request.Headers);
   Forwarded.Headers.push_back(
@@ -231,13 +238,16 @@
   switch (Result.Ended) {
   case ExchangeResult::End::NothingSent:
     Reply.End = TryEnd::NothingSent;
+    if (this->runsAs(Known.Last.Boot))
+      this->countDeath(Known);
     this->upstreamDied(Known.Last.Boot);
     return Reply;
   case ExchangeResult::End::Answered: {
     const bool Refused = internal::saysNotRun(Result.Reply);
     Reply.End = Refused ? TryEnd::RefusedByUpstream : TryEnd::Answered;
-    this->countEvidence(
-        Call, Known, Result.Reply.Status >= internal::ServerError, StartedAt);
+    this->countEvidence(Call.Route, Known,
+                        Result.Reply.Status >= internal::ServerError,
+                        StartedAt);
     Reply.Reply = std::move(Result.Reply);
     return Reply;
   }
@@ -249,17 +259,20 @@
                     !HttpPool::canConnect(Known.Last.Address, Known.Last.Port,
                                           internal::ProbeTimeout);
   // One death is one failure, however many calls ran; the first one counts it.
-  const auto Now = this->known();
-  const bool AlreadyReported =
-      Now == nullptr || Now->Last.Boot != Known.Last.Boot;
+  const bool AlreadyReported = !this->runsAs(Known.Last.Boot);
   if (!Died || !AlreadyReported)
-    this->countEvidence(Call, Known, true, StartedAt);
+    this->countEvidence(Call.Route, Known, true, StartedAt);
   Reply.UpstreamDied = Died;
   if (Died)
     this->upstreamDied(Known.Last.Boot);
   return Reply;
 }
 
+bool Ingress::runsAs(const std::string &Boot) const {
+  const auto Now = this->known();
+  return Now != nullptr && Now->Last.Boot == Boot;
+}
+
 void Ingress::upstreamDied(const std::string &Boot) {
   std::vector<std::uint64_t> Blamed;
   {
@@ -286,23 +299,32 @@
   }
 }
 
-void Ingress::countEvidence(const IngressCall &Call, const Upstream &Known,
+void Ingress::countDeath(const Upstream &Known) {
+  std::string Route;
+  {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    Route = this->NewestRoute;
+  }
+  if (!Route.empty())
+    this->countEvidence(Route, Known, true, monoNow());
+}
+
+void Ingress::countEvidence(const std::string &Route, const Upstream &Known,
                             bool Failed, MonoTime StartedAt) {
   const auto View = this->Views->current();
-  const MoveView *Move = View->moveOf(Call.Service);
+  const MoveView *Move = View->moveOf(Known.Last.Service);
   if (Move == nullptr)
     return;
   CallResult Result;
-  Result.Route = Call.Route;
+  Result.Route = Route;
   Result.ToNewVersion = Known.Last.Version == Move->Move->to_version();
   if (!Result.ToNewVersion && Known.Last.Version != Move->Move->from_version())
     return;
   Result.Failed = Failed;
   Result.Latency = std::chrono::duration_cast<std::chrono::microseconds>(
       monoNow() - StartedAt);
-  const auto *Target = View->Config->findRoute(pathOf(Call.Request));
-  const Millis ColdStart(Target == nullptr ? 0
-                                           : Target->Service.cold_start_ms());
+  const auto *Target = View->Config->findService(Known.Last.Service);
+  const Millis ColdStart(Target == nullptr ? 0 : Target->cold_start_ms());
   Result.LatencyCounts = wallNow() - Known.AnnouncedAt >= ColdStart;
   this->Moves->count(Move->Move->name(), Result);
 }
--- a/persimmonquay/node/ingress.h
+++ b/persimmonquay/node/ingress.h
@@ -107,9 +107,11 @@
   IngressReply runAdmitted(const IngressCall &Call, const Upstream &Known);
   bool startUnderBlame(const IngressCall &Call, MonoTime Deadline,
                        std::string *Detail);
+  bool runsAs(const std::string &Boot) const;
   void upstreamDied(const std::string &Boot);
-  void countEvidence(const IngressCall &Call, const Upstream &Known,
+  void countEvidence(const std::string &Route, const Upstream &Known,
                      bool Failed, MonoTime StartedAt);
+  void countDeath(const Upstream &Known);
   IngressReply refuse(const std::string &Detail) const;
   std::shared_ptr<const Upstream> known() const;
   void tellPeersLocked();
@@ -124,6 +126,8 @@
   CrashBlame Blame;
   mutable std::mutex Mutex;
   std::shared_ptr<const Upstream> Current;
+  /// Route of the newest call, on which a death without calls is counted.
+  std::string NewestRoute;
   bool NodeDraining = false;
 };
 
--- a/persimmonquay/node/local_api.cc
+++ b/persimmonquay/node/local_api.cc
@@ -74,8 +74,10 @@
 }
 
 LocalApi::LocalApi(Ingress *OwnIngress, const ConfigStore *Store,
-                   const Cluster *Group, const Egress *Outer)
-    : OwnIngress(OwnIngress), Store(Store), Group(Group), Outer(Outer) {}
+                   const Cluster *Group, const Egress *Outer,
+                   std::function<bool()> ServesCallers)
+    : OwnIngress(OwnIngress), Store(Store), Group(Group), Outer(Outer),
+      ServesCallers(std::move(ServesCallers)) {}
 
 CallReply LocalApi::serve(const CallRequest &Request) const {
   const std::string_view Path = pathOf(Request);
@@ -98,8 +100,8 @@
 }
 
 CallReply LocalApi::health() const {
-  if (this->Store->serving() == nullptr)
-    return internal::textReply(503, "no configuration yet\n");
+  if (!this->ServesCallers())
+    return internal::textReply(503, "callers are not served yet\n");
   return internal::textReply(200, "ok\n");
 }
 
--- a/persimmonquay/node/local_api.h
+++ b/persimmonquay/node/local_api.h
@@ -5,6 +5,7 @@
 #include "persimmonquay/node/call.h"
 #include "persimmonquay/node/ingress.h"
 #include <absl/status/statusor.h>
+#include <functional>
 #include <string>
 
 namespace persimmonquay {
@@ -16,15 +17,16 @@
 /// Serves
 ///   POST /announce  {"service", "version", "address", "port", "slots", "boot",
 ///                    "draining"}
-///   GET  /healthz   200 when the node can serve, else 503
+///   GET  /healthz   200 when the node serves callers, else 503
 ///   GET  /metrics   Prometheus text
 ///
 /// Thread-safe. Example:
 ///   CallReply Reply = Api.serve(Request);
 class LocalApi {
 public:
+  /// `ServesCallers` tells whether the callers' port is open.
   LocalApi(Ingress *OwnIngress, const ConfigStore *Store, const Cluster *Group,
-           const Egress *Outer);
+           const Egress *Outer, std::function<bool()> ServesCallers);
 
   CallReply serve(const CallRequest &Request) const;
 
@@ -37,6 +39,7 @@
   const ConfigStore *const Store;
   const Cluster *const Group;
   const Egress *const Outer;
+  const std::function<bool()> ServesCallers;
 };
 
 /// Reads an announcement from JSON; InvalidArgument names the wrong field.
--- a/persimmonquay/node/move_driver.cc
+++ b/persimmonquay/node/move_driver.cc
@@ -12,6 +12,11 @@
 namespace internal {
 
 constexpr Millis EvidenceInterval{250};
+/// Longest time between two decisions; failures at the new version hasten one.
+constexpr Millis DecisionInterval{1000};
+/// A decision is followed by a pause of so many times what it cost, so that
+/// long moves take at most a fortieth of a core.
+constexpr int DecisionCostFactor = 40;
 constexpr std::int64_t ResentSpans = 2;
 /// Time by which the nodes of a service wait for one another before they write
 /// the same outcome.
@@ -52,12 +57,7 @@
   const auto Found = this->Moves.find(Move);
   if (Found != this->Moves.end())
     return Found->second;
-  Progress Fresh{EvidenceTable(Move, this->Node, this->Boot),
-                 false,
-                 false,
-                 WallTime(),
-                 WallTime(),
-                 ""};
+  Progress Fresh{EvidenceTable(Move, this->Node, this->Boot)};
   return this->Moves.emplace(Move, std::move(Fresh)).first->second;
 }
 
@@ -66,13 +66,18 @@
   Progress &Known = this->progressLocked(Move);
   Known.Evidence.count(Result, wallNow());
   Known.Unsent = true;
-  Known.Urgent |= Result.Failed && Result.ToNewVersion;
+  const bool Harm = Result.Failed && Result.ToNewVersion;
+  Known.Urgent |= Harm;
+  Known.DecisionWanted |= Harm;
 }
 
 void MoveDriver::merge(const proto::EvidenceCell &Cell) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
-  if (this->progressLocked(Cell.move()).Evidence.merge(Cell, wallNow()))
-    this->Trace->record("evidence", Cell, wallNow());
+  Progress &Known = this->progressLocked(Cell.move());
+  if (!Known.Evidence.merge(Cell, wallNow()))
+    return;
+  Known.DecisionWanted |= Cell.to_new_version() && Cell.errors() > 0;
+  this->Trace->record("evidence", Cell, wallNow());
 }
 
 void MoveDriver::tick(WallTime Now) {
@@ -103,15 +108,36 @@
   if (Move.Progress.TakenBack) {
     Decision.Action = MoveDecision::Kind::TakeBack;
   } else {
-    std::lock_guard<std::mutex> Lock(this->Mutex);
-    Progress &Known = this->progressLocked(Move.Move->name());
-    Decision = Move.Policy.decide(Known.Evidence, Move.Progress,
-                                  internal::capacityOf(View, *Move.Move), Now);
-    Known.Warning = Decision.Warning;
+    Decision = this->decideIfDue(View, Move, Now);
   }
   this->perform(Move, Decision, Nodes, Now);
 }
 
+bool MoveDriver::decisionIsDue(const Progress &Known, MonoTime Now) {
+  const auto Passed = Now - Known.DecidedAt;
+  if (Passed < internal::DecisionCostFactor * Known.DecisionCost)
+    return false;
+  return Known.DecisionWanted || Passed >= internal::DecisionInterval;
+}
+
+MoveDecision MoveDriver::decideIfDue(const RoutingView &View,
+                                     const MoveView &Move, WallTime Now) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  Progress &Known = this->progressLocked(Move.Move->name());
+  const MonoTime Before = monoNow();
+  if (!decisionIsDue(Known, Before))
+    return {};
+  Known.DecisionWanted = false;
+  Known.DecidedAt = Before;
+  Known.Evidence.compact(Now);
+  MoveDecision Decision =
+      Move.Policy.decide(Known.Evidence, Move.Progress,
+                         internal::capacityOf(View, *Move.Move), Now);
+  Known.DecisionCost = monoNow() - Before;
+  Known.Warning = Decision.Warning;
+  return Decision;
+}
+
 void MoveDriver::sendEvidence(const std::string &Move,
                               const std::vector<std::string> &Peers,
                               WallTime Now) {
--- a/persimmonquay/node/move_driver.h
+++ b/persimmonquay/node/move_driver.h
@@ -70,13 +70,20 @@
     bool Unsent = false;
     /// Set when the next evidence must not wait, because a call failed.
     bool Urgent = false;
-    WallTime SentAt;
-    WallTime OutcomeWrittenAt;
-    std::string Warning;
+    WallTime SentAt{};
+    WallTime OutcomeWrittenAt{};
+    /// Set when a failure at the new version was counted or heard of.
+    bool DecisionWanted = false;
+    MonoTime DecidedAt{};
+    MonoTime::duration DecisionCost{};
+    std::string Warning{};
   };
 
   Progress &progressLocked(const std::string &Move);
   void tickMove(const RoutingView &View, const MoveView &Move, WallTime Now);
+  MoveDecision decideIfDue(const RoutingView &View, const MoveView &Move,
+                           WallTime Now);
+  static bool decisionIsDue(const Progress &Known, MonoTime Now);
   void sendEvidence(const std::string &Move,
                     const std::vector<std::string> &Peers, WallTime Now);
   void perform(const MoveView &Move, const MoveDecision &Decision,
--- a/persimmonquay/node/node.cc
+++ b/persimmonquay/node/node.cc
@@ -34,6 +34,10 @@
 /// Time for the news of draining to reach the nodes that choose upstreams.
 constexpr Millis DrainSpread{1000};
 constexpr std::size_t LocalThreads = 8;
+constexpr Millis LongestJoin{3000};
+constexpr Millis ReadinessCheck{200};
+/// Building a view is followed by a pause of so many times what it cost.
+constexpr int ViewCostFactor = 4;
 
 } // namespace internal
 
@@ -46,12 +50,14 @@
   void stop(Millis Timeout);
 
 private:
+  using ViewChange = RoutingViewHolder::Change;
+
   void watchStore();
   absl::Status startServers();
   HttpLimits callLimits() const;
   void serveCallersOnceReadyLocked();
   void runEvery(Millis Interval, const std::function<void()> &Work);
-  void wakeViews();
+  void wakeViews(ViewChange What);
   void viewLoop();
   CallReply serveCaller(const CallRequest &Request);
 
@@ -78,9 +84,11 @@
   std::mutex StopMutex;
   std::condition_variable StopWanted;
   bool Stopping = false;
+  const MonoTime StartedAt = monoNow();
   bool Draining = false;
   bool ServesCallers = false;
   bool ViewStale = false;
+  ViewChange StaleBy = ViewChange::Members;
   std::condition_variable ViewWanted;
   std::vector<std::thread> Threads;
 };
@@ -89,11 +97,12 @@
     : Settings(Settings), Trace(Settings.trace_file()), Book(Settings),
       Log(Settings.log_url()), Views(&this->Store),
       Group(Settings, &this->Store,
-            ClusterEvents{[this] { this->wakeViews(); },
-                          [this] { this->wakeViews(); },
-                          [this](const proto::EvidenceCell &Cell) {
-                            this->Moves.merge(Cell);
-                          }}),
+            ClusterEvents{
+                [this] { this->wakeViews(ViewChange::Members); },
+                [this] { this->wakeViews(ViewChange::ConfigurationOrFacts); },
+                [this](const proto::EvidenceCell &Cell) {
+                  this->Moves.merge(Cell);
+                }}),
       Follower(&this->Log, &this->Store, &this->Group,
                Settings.snapshot_every_records()),
       Moves(
@@ -115,7 +124,11 @@
                           &this->Claims, Settings.node(),
                           Settings.data_centre()}),
       InnerApi(&this->Inner),
-      Local(&this->Inner, &this->Store, &this->Group, &this->Outer),
+      Local(&this->Inner, &this->Store, &this->Group, &this->Outer,
+            [this] {
+              std::lock_guard<std::mutex> Lock(this->StopMutex);
+              return this->ServesCallers;
+            }),
       Operators(OperatorServer::Parts{&this->Group, &this->Store,
                                       &this->Follower, &this->Moves,
                                       &this->Inner, &this->Views}) {
@@ -130,7 +143,7 @@
                 {{"version", absl::StrCat(State.version())},
                  {"next_offset", absl::StrCat(State.next_offset())}});
         this->Group.announceConfig();
-        this->wakeViews();
+        this->wakeViews(ViewChange::ConfigurationOrFacts);
       },
       [this](std::uint64_t Offset, const std::string &Payload) {
         proto::StreamRecord Record;
@@ -141,7 +154,7 @@
 }
 
 absl::Status Node::Implementation::start() {
-  this->Views.rebuild(this->Group);
+  this->Views.rebuild(this->Group, ViewChange::Members);
   absl::Status Status = this->Group.start();
   if (Status.ok())
     Status = this->startServers();
@@ -218,27 +231,45 @@
   }
 }
 
-void Node::Implementation::wakeViews() {
+void Node::Implementation::wakeViews(ViewChange What) {
   std::lock_guard<std::mutex> Lock(this->StopMutex);
   this->ViewStale = true;
+  if (What == ViewChange::Members)
+    this->StaleBy = What;
   this->ViewWanted.notify_one();
 }
 
 void Node::Implementation::viewLoop() {
   std::unique_lock<std::mutex> Lock(this->StopMutex);
   while (!this->Stopping) {
-    this->ViewWanted.wait(Lock,
-                          [this] { return this->Stopping || this->ViewStale; });
+    this->ViewWanted.wait_for(Lock, internal::ReadinessCheck, [this] {
+      return this->Stopping || this->ViewStale;
+    });
+    if (!this->ViewStale) {
+      this->serveCallersOnceReadyLocked();
+      continue;
+    }
     this->ViewStale = false;
+    const ViewChange What =
+        std::exchange(this->StaleBy, ViewChange::ConfigurationOrFacts);
     Lock.unlock();
-    this->Views.rebuild(this->Group);
+    const MonoTime Before = monoNow();
+    this->Views.rebuild(this->Group, What);
+    const auto Cost = monoNow() - Before;
     Lock.lock();
     this->serveCallersOnceReadyLocked();
+    // In a storm of changes a view takes in several at once.
+    this->StopWanted.wait_for(Lock, internal::ViewCostFactor * Cost,
+                              [this] { return this->Stopping; });
   }
 }
 
 void Node::Implementation::serveCallersOnceReadyLocked() {
-  const bool Ready = this->Views.current()->Config != nullptr;
+  // Without the members a node would refuse calls for want of upstreams. A node
+  // that finds no peer serves its own upstream after a while.
+  const bool Joined = this->Group.hasFetchedMembers() ||
+                      monoNow() - this->StartedAt > internal::LongestJoin;
+  const bool Ready = Joined && this->Views.current()->Config != nullptr;
   if (!Ready || this->ServesCallers || this->Draining)
     return;
   const absl::Status Serving = this->CallerPort.serve(
--- a/persimmonquay/node/routing_view.cc
+++ b/persimmonquay/node/routing_view.cc
@@ -43,12 +43,14 @@
       View(std::make_unique<const std::shared_ptr<const RoutingView>>(
           std::make_shared<const RoutingView>())) {}
 
-void RoutingViewHolder::rebuild(const Cluster &Group) {
+void RoutingViewHolder::rebuild(const Cluster &Group, Change What) {
   std::lock_guard<std::mutex> Lock(this->RebuildMutex);
   auto Next = std::make_shared<RoutingView>();
   Next->Config = this->Store->serving();
-  Next->Endpoints =
-      EndpointTable::build(Group.members(), this->current()->Endpoints.get());
+  Next->Endpoints = this->current()->Endpoints;
+  if (What == Change::Members || Next->Endpoints == nullptr)
+    Next->Endpoints =
+        EndpointTable::build(Group.members(), Next->Endpoints.get());
   const std::vector<proto::Fact> Facts = Group.facts();
   if (Next->Config != nullptr)
     for (const auto &Move : Next->Config->moves())
--- a/persimmonquay/node/routing_view.h
+++ b/persimmonquay/node/routing_view.h
@@ -44,8 +44,12 @@
 public:
   explicit RoutingViewHolder(const ConfigStore *Store);
 
-  /// Builds a new view from the store and the group.
-  void rebuild(const Cluster &Group);
+  /// What has changed since the view was built.
+  enum class Change { ConfigurationOrFacts, Members };
+
+  /// Builds a new view from the store and the group. The endpoints are taken
+  /// from the view before unless members have changed.
+  void rebuild(const Cluster &Group, Change What);
 
   std::shared_ptr<const RoutingView> current() const;
 
--- a/persimmonquay/peer/cluster.cc
+++ b/persimmonquay/peer/cluster.cc
@@ -93,10 +93,18 @@
   }
 
   ClusterTraffic traffic() const;
+  bool hasFetchedMembers() const { return this->MembersFetched; }
 
 private:
   using Address = internal::PeerAddress;
 
+  /// A peer whose state is to be fetched.
+  struct SyncTask {
+    Address Peer;
+    /// Whether members and facts are wanted too, not only configuration.
+    bool WithMembers = false;
+  };
+
   /// Changes the state under the lock, then sends and reports what follows.
   template <typename F> void change(F &&Command);
 
@@ -109,7 +117,7 @@
 
   void syncLoop();
   void considerSync(const proto::Datagram &Message);
-  void syncWith(const Address &Peer);
+  void syncWith(const SyncTask &Task);
   std::string answerSync(const std::string &Bytes);
   void applyReply(const proto::SyncReply &Reply);
 
@@ -126,7 +134,7 @@
   // Guards the members up to LastAntiEntropy.
   mutable std::mutex Mutex;
   GroupState State;
-  std::optional<Address> SyncPeer;
+  std::optional<SyncTask> NextSync;
   std::condition_variable SyncWanted;
   MonoTime LastAntiEntropy{};
 
@@ -139,6 +147,7 @@
   std::condition_variable TickWanted;
   std::mutex TickMutex;
 
+  std::atomic<bool> MembersFetched = false;
   std::atomic<bool> Stopping = false;
   std::atomic<std::uint64_t> DatagramsSent = 0;
   std::atomic<std::uint64_t> BytesSent = 0;
@@ -386,51 +395,58 @@
   if (Seen == DigestComparison::Equal)
     return;
   if (Seen == DigestComparison::Differs) {
-    if (this->SyncPeer ||
+    if (this->NextSync ||
         Now - this->LastAntiEntropy < internal::AntiEntropyInterval)
       return;
     this->LastAntiEntropy = Now;
   }
-  this->SyncPeer = this->addressOf(Message.sender());
+  this->NextSync =
+      SyncTask{this->addressOf(Message.sender()),
+               Seen == DigestComparison::Differs || !this->MembersFetched};
   this->SyncWanted.notify_one();
 }
 
 void Cluster::Implementation::syncLoop() {
   while (!this->Stopping) {
-    Address Peer;
+    SyncTask Task;
     {
       std::unique_lock<std::mutex> Lock(this->Mutex);
       this->SyncWanted.wait_for(Lock, internal::ReceiveTimeout, [this] {
-        return this->Stopping || this->SyncPeer.has_value();
+        return this->Stopping || this->NextSync.has_value();
       });
-      if (!this->SyncPeer)
+      if (!this->NextSync)
         continue;
-      Peer = *this->SyncPeer;
-      this->SyncPeer.reset();
+      Task = *std::exchange(this->NextSync, std::nullopt);
     }
-    this->syncWith(Peer);
+    this->syncWith(Task);
   }
 }
 
-void Cluster::Implementation::syncWith(const Address &Peer) {
+void Cluster::Implementation::syncWith(const SyncTask &Task) {
   proto::SyncRequest Request;
   Request.set_config_next_offset(this->Store->nextOffset());
-  this->query([&](const GroupState &Group) { Group.fillRequest(&Request); });
+  this->query([&](const GroupState &Group) {
+    Group.fillRequest(Task.WithMembers, &Request);
+  });
   const std::string Bytes = Request.SerializeAsString();
   ++this->Syncs;
   this->BytesSent += Bytes.size();
-  const auto Answer =
-      requestSync(Peer.Address, Peer.Port, Bytes, internal::SyncTimeout);
+  const auto Answer = requestSync(Task.Peer.Address, Task.Peer.Port, Bytes,
+                                  internal::SyncTimeout);
   if (!Answer.ok()) {
     logLine(LogLevel::Debug, "sync failed",
-            {{"peer", Peer.Address},
+            {{"peer", Task.Peer.Address},
              {"error", std::string(Answer.status().message())}});
     return;
   }
   this->BytesReceived += Answer->size();
   proto::SyncReply Reply;
-  if (Reply.ParseFromString(*Answer))
-    this->applyReply(Reply);
+  if (!Reply.ParseFromString(*Answer))
+    return;
+  // Before the reply is applied, whose observers may ask for it.
+  if (Task.WithMembers)
+    this->MembersFetched = true;
+  this->applyReply(Reply);
 }
 
 void Cluster::Implementation::applyReply(const proto::SyncReply &Reply) {
@@ -499,6 +515,10 @@
   this->Impl->join(Known);
 }
 
+bool Cluster::hasFetchedMembers() const {
+  return this->Impl->hasFetchedMembers();
+}
+
 bool Cluster::hasPeers() const {
   return this->Impl->query(
       [](const GroupState &Group) { return Group.members().size() > 1; });
@@ -518,9 +538,8 @@
 
 std::uint64_t Cluster::factLevel(proto::FactKind Kind,
                                  const std::string &Key) const {
-  return this->Impl->query([&](const GroupState &Group) {
-    return Group.facts().level(Kind, Key);
-  });
+  return this->Impl->query(
+      [&](const GroupState &Group) { return Group.facts().level(Kind, Key); });
 }
 
 std::size_t Cluster::factCount(proto::FactKind Kind,
--- a/persimmonquay/peer/cluster.h
+++ b/persimmonquay/peer/cluster.h
@@ -86,6 +86,9 @@
   /// Returns whether this node knows any other.
   bool hasPeers() const;
 
+  /// Returns whether a peer has sent its whole table of members.
+  bool hasFetchedMembers() const;
+
   std::vector<proto::Member> members() const;
   std::uint64_t factLevel(proto::FactKind Kind, const std::string &Key) const;
   std::vector<proto::Fact> facts() const;
--- a/persimmonquay/peer/group_state.cc
+++ b/persimmonquay/peer/group_state.cc
@@ -253,11 +253,14 @@
   return Equal ? DigestComparison::Equal : DigestComparison::Differs;
 }
 
-void GroupState::fillRequest(proto::SyncRequest *Request) const {
+void GroupState::fillRequest(bool WithMembers,
+                             proto::SyncRequest *Request) const {
   *Request->mutable_sender() = this->Members.self();
+  Request->set_facts_hash(this->Facts.hash());
+  if (!WithMembers)
+    return;
   for (std::uint64_t Hash : this->Members.buckets())
     Request->add_member_buckets(Hash);
-  Request->set_facts_hash(this->Facts.hash());
 }
 
 void GroupState::fillReply(const proto::SyncRequest &Request,
--- a/persimmonquay/peer/group_state.h
+++ b/persimmonquay/peer/group_state.h
@@ -87,8 +87,9 @@
   DigestComparison compare(const proto::Digest &Digest,
                            std::uint64_t ConfigNextOffset) const;
 
-  /// Fills a request for the state of a peer.
-  void fillRequest(proto::SyncRequest *Request) const;
+  /// Fills a request for the state of a peer; without members and facts it asks
+  /// for configuration only and is much shorter.
+  void fillRequest(bool WithMembers, proto::SyncRequest *Request) const;
 
   /// Adds members and facts that the asker lacks, and raises the floor in
   /// `Reply` to the offset at which the asker was last seen.
--- a/persimmonquay/peer/peer_test.cc
+++ b/persimmonquay/peer/peer_test.cc
@@ -153,7 +153,7 @@
       this->SyncedAt[Node] = this->Now;
       proto::SyncRequest Request;
       proto::SyncReply Reply;
-      this->States.at(Node)->fillRequest(&Request);
+      this->States.at(Node)->fillRequest(true, &Request);
       this->States.at(Peer)->fillReply(Request, &Reply);
       this->post(Node,
                  this->States.at(Node)->merge(Reply, this->Now, this->wall()));
@@ -224,7 +224,7 @@
   Group.state("n0").receive(Seen, Group.Now, Group.wall());
   proto::SyncRequest Request;
   proto::SyncReply Reply;
-  Group.state("n1").fillRequest(&Request);
+  Group.state("n1").fillRequest(true, &Request);
   Group.state("n0").fillReply(Request, &Reply);
   CHECK(Reply.floor_next_offset() == 7);
 }
--- a/persimmonquay/routing/endpoint_table.cc
+++ b/persimmonquay/routing/endpoint_table.cc
@@ -16,12 +16,28 @@
 
 using List = EndpointTable::List;
 
-bool isUsable(const Endpoint &Candidate, const EndpointWish &Wish) {
-  return Candidate.Version == Wish.Version &&
-         Candidate.AvoidUntilUnixMs.load(std::memory_order_relaxed) <=
-             unixMillis(Wish.Now) &&
-         std::find(Wish.Tried.begin(), Wish.Tried.end(), Candidate.Node) ==
-             Wish.Tried.end();
+bool isAvoided(const Endpoint &Candidate, WallTime Now) {
+  return Candidate.AvoidUntilUnixMs.load(std::memory_order_relaxed) >
+         unixMillis(Now);
+}
+
+bool wasTried(const Endpoint &Candidate, const EndpointWish &Wish) {
+  return std::find(Wish.Tried.begin(), Wish.Tried.end(), Candidate.Node) !=
+         Wish.Tried.end();
+}
+
+/// Leaves out what was tried, and what is avoided unless nothing else is left.
+List usable(const List &Candidates, const EndpointWish &Wish) {
+  List Untried;
+  List Preferred;
+  for (const auto &Candidate : Candidates) {
+    if (wasTried(*Candidate, Wish))
+      continue;
+    Untried.push_back(Candidate);
+    if (!isAvoided(*Candidate, Wish.Now))
+      Preferred.push_back(Candidate);
+  }
+  return Preferred.empty() ? Untried : Preferred;
 }
 
 /// Keeps only the endpoints of the version that take part at this share.
@@ -143,9 +159,8 @@
       Version.push_back(Candidate);
   EndpointTable::List Near;
   EndpointTable::List Far;
-  for (const auto &Candidate : internal::participants(Version, Wish)) {
-    if (!internal::isUsable(*Candidate, Wish))
-      continue;
+  for (const auto &Candidate :
+       internal::usable(internal::participants(Version, Wish), Wish)) {
     const bool IsNear = Candidate->DataCentre == Wish.DataCentre;
     (IsNear ? Near : Far).push_back(Candidate);
   }
--- a/persimmonquay/routing/endpoint_table.h
+++ b/persimmonquay/routing/endpoint_table.h
@@ -85,8 +85,9 @@
 
 /// Returns the less loaded of two random endpoints of the own data centre. One
 /// of another data centre is returned when the own has none that can be
-/// reached, or when both are full while the other is not. Returns null when no
-/// endpoint is left.
+/// reached, or when both are full while the other is not. Endpoints that
+/// failed lately are chosen only when there is no other. Returns null when
+/// every endpoint was tried.
 std::shared_ptr<Endpoint> chooseEndpoint(const EndpointTable::List &Endpoints,
                                          const EndpointWish &Wish,
                                          std::mt19937_64 &Random);
--- a/persimmonquay/routing/routing_test.cc
+++ b/persimmonquay/routing/routing_test.cc
@@ -234,6 +234,10 @@
   for (int I = 0; I < 3; ++I)
     Table->of("s")[0]->noteFailure(Now);
   CHECK_FALSE(choices(*Table, wish()).contains("a"));
+  // Better an upstream that failed lately than none.
+  EndpointWish Last = wish();
+  Last.Tried = {"b"};
+  CHECK(choices(*Table, Last)["a"] == 2000);
   EndpointWish Later = wish();
   Later.Now = Now + std::chrono::minutes(5);
   CHECK(choices(*Table, Later).contains("a"));
--- a/testing/fleet/fleet.cc
+++ b/testing/fleet/fleet.cc
@@ -320,8 +320,9 @@
   return eventually(Timeout, [&] {
     for (const auto &Each : this->Hosts)
       if (Each->Node != nullptr &&
-          metricOf(Each->local(), "pq_config_version") <
-              static_cast<double>(Version))
+          (metricOf(Each->local(), "pq_config_version") <
+               static_cast<double>(Version) ||
+           request(Each->local(), "GET", "/healthz").Reply.Status != 200))
         return false;
     return true;
   });
--- a/testing/fleet/fleet.h
+++ b/testing/fleet/fleet.h
@@ -113,7 +113,8 @@
   bool waitForMetric(const std::string &Name, std::size_t Value,
                      Millis Timeout) const;
 
-  /// Waits until all nodes have applied `Version` or a later one.
+  /// Waits until all nodes have applied `Version` or a later one and serve
+  /// callers.
   bool waitForVersion(std::uint64_t Version, Millis Timeout) const;
 
   /// Returns when a node applied each version, from its own log.
