Read by read-copy-update in the ingress; honour queue_limit; sort files by kind

Found while reading as a newcomer: - A service's queue_limit was accepted and ignored. Now the ingress takes it at each announcement. - The ingress took a lock for each call to read its upstream; now it reads it by read-copy-update. - harm_test.h was no test: it is harm_evidence.h now. Tests over processes and lint: not yet run on this commit.

--- a/testing/benches/capacity_bench.cc
+++ b/benchmarks/capacity_bench.cc
@@ -2,6 +2,7 @@
 // number of members, services, evidence and data centres grows. One JSON line
 // for each point.
 // Usage: capacity_bench
+#include "benchmarks/measuring.h"
 #include "persimmonquay/config/acceptance.h"
 #include "persimmonquay/config/config_store.h"
 #include "persimmonquay/membership/fact_table.h"
@@ -9,7 +10,6 @@
 #include "persimmonquay/move/evidence_table.h"
 #include "persimmonquay/move/move_policy.h"
 #include "persimmonquay/routing/endpoint_table.h"
-#include "testing/benches/measuring.h"
 #include <absl/strings/str_cat.h>
 #include <iostream>
 #include <malloc.h>
--- a/testing/benches/convergence_bench.cc
+++ b/benchmarks/convergence_bench.cc
@@ -1,10 +1,10 @@
 // Measures convergence of configurations and control bytes, beside a baseline
 // in which every node polls the log for the whole configuration each second.
 // Usage: convergence_bench [NODES ...]   default: 13 26 52 104
+#include "benchmarks/measuring.h"
 #include "persimmonquay/cli/change_builder.h"
 #include "persimmonquay/cli/operator_client.h"
 #include "persimmonquay/config/acceptance.h"
-#include "testing/benches/measuring.h"
 #include <absl/strings/str_cat.h>
 #include <atomic>
 #include <iostream>
--- a/testing/benches/measuring.cc
+++ b/benchmarks/measuring.cc
@@ -1,4 +1,4 @@
-#include "testing/benches/measuring.h"
+#include "benchmarks/measuring.h"
 
 #include <algorithm>
 
--- a/testing/benches/measuring.h
+++ b/benchmarks/measuring.h
@@ -1,6 +1,6 @@
 // What the benchmarks over processes share.
-#ifndef PERSIMMONQUAY_TESTING_BENCHES_MEASURING_H
-#define PERSIMMONQUAY_TESTING_BENCHES_MEASURING_H
+#ifndef PERSIMMONQUAY_BENCHMARKS_MEASURING_H
+#define PERSIMMONQUAY_BENCHMARKS_MEASURING_H
 
 #include "persimmonquay/base/time.h"
 #include "testing/fleet/fleet.h"
@@ -49,4 +49,4 @@
 
 } // namespace persimmonquay::testing
 
-#endif // PERSIMMONQUAY_TESTING_BENCHES_MEASURING_H
+#endif // PERSIMMONQUAY_BENCHMARKS_MEASURING_H
--- a/testing/moves/move_bench.cc
+++ b/benchmarks/move_bench.cc
@@ -3,7 +3,7 @@
 // Prints one JSON line for each policy and condition.
 #include "persimmonquay/move/move_policy.h"
 #include "proto/configuration.pb.h"
-#include "testing/moves/fake_service.h"
+#include "testing/fake_service.h"
 #include <algorithm>
 #include <atomic>
 #include <concepts>
--- a/testing/benches/requests_bench.cc
+++ b/benchmarks/requests_bench.cc
@@ -1,8 +1,8 @@
 // Measures the request path: added latency against direct calls, goodput of the
 // first priority at twice the capacity, and the price of bookings.
 // Usage: requests_bench
+#include "benchmarks/measuring.h"
 #include "persimmonquay/node/http_pool.h"
-#include "testing/benches/measuring.h"
 #include "testing/fleet/load.h"
 #include <absl/strings/str_cat.h>
 #include <atomic>
--- a/persimmonquay/move/harm_test.cc
+++ b/persimmonquay/move/harm_evidence.cc
@@ -1,4 +1,4 @@
-#include "persimmonquay/move/harm_test.h"
+#include "persimmonquay/move/harm_evidence.h"
 
 #include <algorithm>
 #include <array>
--- a/persimmonquay/move/harm_test.h
+++ b/persimmonquay/move/harm_evidence.h
@@ -4,8 +4,8 @@
 // version does no harm, is expected not to grow, however often it is looked
 // at. By Ville's inequality the chance that it ever reaches 1/alpha is then at
 // most alpha. docs/MOVES.md derives the formulas.
-#ifndef PERSIMMONQUAY_MOVE_HARM_TEST_H
-#define PERSIMMONQUAY_MOVE_HARM_TEST_H
+#ifndef PERSIMMONQUAY_MOVE_HARM_EVIDENCE_H
+#define PERSIMMONQUAY_MOVE_HARM_EVIDENCE_H
 
 #include "persimmonquay/move/evidence_table.h"
 #include <string>
@@ -61,4 +61,4 @@
 
 } // namespace persimmonquay
 
-#endif // PERSIMMONQUAY_MOVE_HARM_TEST_H
+#endif // PERSIMMONQUAY_MOVE_HARM_EVIDENCE_H
--- a/persimmonquay/move/move_policy.h
+++ b/persimmonquay/move/move_policy.h
@@ -3,7 +3,7 @@
 #define PERSIMMONQUAY_MOVE_MOVE_POLICY_H
 
 #include "persimmonquay/base/time.h"
-#include "persimmonquay/move/harm_test.h"
+#include "persimmonquay/move/harm_evidence.h"
 #include <array>
 #include <cstdint>
 #include <optional>
--- a/persimmonquay/move/move_test.cc
+++ b/persimmonquay/move/move_test.cc
@@ -1,6 +1,6 @@
 // Tests of the move library.
 #include "persimmonquay/move/evidence_table.h"
-#include "persimmonquay/move/harm_test.h"
+#include "persimmonquay/move/harm_evidence.h"
 #include "persimmonquay/move/latency_buckets.h"
 #include "persimmonquay/move/move_policy.h"
 #include "proto/configuration.pb.h"
--- a/persimmonquay/node/ingress.cc
+++ b/persimmonquay/node/ingress.cc
@@ -39,6 +39,11 @@
   return absl::OkStatus();
 }
 
+bool saysTheSame(const Announcement &One, const Announcement &Other) {
+  return One.Service == Other.Service && One.Version == Other.Version &&
+         One.Slots == Other.Slots && One.Draining == Other.Draining;
+}
+
 bool saysNotRun(const CallReply &Reply) {
   return Reply.Status >= ServerError &&
          findHeader(Reply.Headers, OutcomeHeader) ==
@@ -50,11 +55,17 @@
 Ingress::Ingress(Cluster *Group, const RoutingViewHolder *Views, HttpPool *Pool,
                  MoveDriver *Moves, Millis AnnouncementLease)
     : Group(Group), Views(Views), Pool(Pool), Moves(Moves),
-      Lease(AnnouncementLease), Gate(0, 0) {}
+      Lease(AnnouncementLease), Gate(0, 0),
+      Current(std::make_unique<const std::shared_ptr<const Upstream>>()) {}
 
 std::shared_ptr<const Ingress::Upstream> Ingress::known() const {
-  std::lock_guard<std::mutex> Lock(this->Mutex);
-  return this->Current;
+  return this->Current.read(
+      [](const std::shared_ptr<const Upstream> &Known) { return Known; });
+}
+
+void Ingress::replaceLocked(std::shared_ptr<const Upstream> Next) {
+  this->Current.replace(
+      std::make_unique<const std::shared_ptr<const Upstream>>(std::move(Next)));
 }
 
 absl::Status Ingress::announce(const Announcement &Heard) {
@@ -68,21 +79,16 @@
     this->upstreamDied(Before->Last.Boot);
   }
   std::lock_guard<std::mutex> Lock(this->Mutex);
+  const auto Known = this->known();
+  const bool SameRun = Known != nullptr && Known->Last.Boot == Heard.Boot;
   auto Next = std::make_shared<Upstream>();
   Next->Last = Heard;
   Next->HeardAt = monoNow();
-  const bool SameRun =
-      this->Current != nullptr && this->Current->Last.Boot == Heard.Boot;
-  Next->AnnouncedAt = SameRun ? this->Current->AnnouncedAt : wallNow();
-  const bool Changed = !SameRun ||
-                       this->Current->Last.Draining != Heard.Draining ||
-                       this->Current->Last.Slots != Heard.Slots ||
-                       this->Current->Last.Version != Heard.Version ||
-                       this->Current->Last.Service != Heard.Service;
-  this->Current = std::move(Next);
-  if (!Changed)
+  Next->AnnouncedAt = SameRun ? Known->AnnouncedAt : wallNow();
+  this->replaceLocked(std::move(Next));
+  this->Gate.resize(Heard.Slots, this->queueLimitOf(Heard.Service));
+  if (SameRun && internal::saysTheSame(Known->Last, Heard))
     return absl::OkStatus();
-  this->Gate.resize(Heard.Slots, internal::DefaultQueueLimit);
   this->Gate.setDraining(Heard.Draining || this->NodeDraining);
   this->tellPeersLocked();
   logLine(LogLevel::Info, "upstream announced",
@@ -92,25 +98,34 @@
   return absl::OkStatus();
 }
 
+std::size_t Ingress::queueLimitOf(const std::string &Service) const {
+  const auto View = this->Views->current();
+  const proto::Service *Known =
+      View->Config == nullptr ? nullptr : View->Config->findService(Service);
+  const bool Set = Known != nullptr && Known->queue_limit() > 0;
+  return Set ? Known->queue_limit() : internal::DefaultQueueLimit;
+}
+
 void Ingress::tellPeersLocked() {
   proto::Member Facts;
-  if (this->Current != nullptr) {
-    Facts.set_service(this->Current->Last.Service);
-    Facts.set_version(this->Current->Last.Version);
-    Facts.set_slots(this->Current->Last.Slots);
-    Facts.set_announced_unix_ms(unixMillis(this->Current->AnnouncedAt));
-    Facts.set_draining(this->Current->Last.Draining || this->NodeDraining);
+  if (const auto Known = this->known()) {
+    Facts.set_service(Known->Last.Service);
+    Facts.set_version(Known->Last.Version);
+    Facts.set_slots(Known->Last.Slots);
+    Facts.set_announced_unix_ms(unixMillis(Known->AnnouncedAt));
+    Facts.set_draining(Known->Last.Draining || this->NodeDraining);
   }
   this->Group->updateSelf(Facts);
 }
 
 void Ingress::checkLease(MonoTime Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
-  if (this->Current == nullptr || Now - this->Current->HeardAt < this->Lease)
+  const auto Known = this->known();
+  if (Known == nullptr || Now - Known->HeardAt < this->Lease)
     return;
   logLine(LogLevel::Warning, "upstream has stopped announcing itself",
-          {{"service", this->Current->Last.Service}});
-  this->Current.reset();
+          {{"service", Known->Last.Service}});
+  this->replaceLocked(nullptr);
   this->tellPeersLocked();
 }
 
@@ -222,10 +237,7 @@
 IngressReply Ingress::runAdmitted(const IngressCall &Call,
                                   const Upstream &Known) {
   const MonoTime StartedAt = monoNow();
-  {
-    std::lock_guard<std::mutex> Lock(this->Mutex);
-    this->NewestRoute = Call.Route;
-  }
+  this->noteRoute(Call);
   CallRequest Forwarded = Call.Request;
   Forwarded.Headers = endToEndHeaders(Call.Request.Headers);
   Forwarded.Headers.push_back(
@@ -277,14 +289,15 @@
   std::vector<std::uint64_t> Blamed;
   {
     std::lock_guard<std::mutex> Lock(this->Mutex);
-    if (this->Current == nullptr || this->Current->Last.Boot != Boot)
+    const auto Known = this->known();
+    if (Known == nullptr || Known->Last.Boot != Boot)
       return;
-    logLine(LogLevel::Warning, "upstream died",
-            {{"service", this->Current->Last.Service},
-             {"version", this->Current->Last.Version}});
+    logLine(
+        LogLevel::Warning, "upstream died",
+        {{"service", Known->Last.Service}, {"version", Known->Last.Version}});
     // Under the lock, so that no other call of this death ends before.
     Blamed = this->Blame.upstreamDied();
-    this->Current.reset();
+    this->replaceLocked(nullptr);
     this->tellPeersLocked();
   }
   for (std::uint64_t Fingerprint : Blamed) {
@@ -299,6 +312,13 @@
   }
 }
 
+void Ingress::noteRoute(const IngressCall &Call) {
+  if (this->Views->current()->moveOf(Call.Service) == nullptr)
+    return;
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->NewestRoute = Call.Route;
+}
+
 void Ingress::countDeath(const Upstream &Known) {
   std::string Route;
   {
--- a/persimmonquay/node/ingress.h
+++ b/persimmonquay/node/ingress.h
@@ -2,6 +2,7 @@
 #ifndef PERSIMMONQUAY_NODE_INGRESS_H
 #define PERSIMMONQUAY_NODE_INGRESS_H
 
+#include "persimmonquay/base/rcu_pointer.h"
 #include "persimmonquay/base/time.h"
 #include "persimmonquay/node/call.h"
 #include "persimmonquay/routing/admission_gate.h"
@@ -114,7 +115,10 @@
   void countDeath(const Upstream &Known);
   IngressReply refuse(const std::string &Detail) const;
   std::shared_ptr<const Upstream> known() const;
+  std::size_t queueLimitOf(const std::string &Service) const;
+  void replaceLocked(std::shared_ptr<const Upstream> Next);
   void tellPeersLocked();
+  void noteRoute(const IngressCall &Call);
 
   Cluster *const Group;
   const RoutingViewHolder *const Views;
@@ -124,9 +128,11 @@
 
   AdmissionGate Gate;
   CrashBlame Blame;
-  mutable std::mutex Mutex;
-  std::shared_ptr<const Upstream> Current;
-  /// Route of the newest call, on which a death without calls is counted.
+  /// Read by every call; replaced under Mutex.
+  RcuPointer<std::shared_ptr<const Upstream>> Current;
+  std::mutex Mutex;
+  /// Route of the newest call of a moving service, on which a death without
+  /// calls is counted.
   std::string NewestRoute;
   bool NodeDraining = false;
 };
--- /dev/null
+++ b/persimmonquay/routing/claim_test.cc
@@ -0,0 +1,161 @@
+// Tests of claims, part of the routing library.
+#include "persimmonquay/routing/claim_ledger.h"
+#include "persimmonquay/routing/claim_stream.h"
+#include "testing/fake_log.h"
+#include <absl/strings/str_cat.h>
+#include <atomic>
+#include <doctest/doctest.h>
+#include <thread>
+#include <vector>
+
+namespace persimmonquay {
+namespace {
+
+using testing::FakeLog;
+using Kind = ClaimAnswer::Kind;
+constexpr WallTime Now{Millis(1'700'000'000'000)};
+
+MonoTime soon() { return monoNow() + Millis(300); }
+
+proto::ClaimEvent event(proto::ClaimEvent::Kind Type, const std::string &Key,
+                        const std::string &Attempt) {
+  proto::ClaimEvent Event;
+  Event.set_kind(Type);
+  Event.set_key(Key);
+  Event.set_attempt(Attempt);
+  return Event;
+}
+
+TEST_CASE("the first claim holds, its release frees, its result is final") {
+  ClaimLedger Ledger;
+  Ledger.apply(event(proto::ClaimEvent::CLAIM, "k", "a"));
+  Ledger.apply(event(proto::ClaimEvent::CLAIM, "k", "b"));
+  CHECK(Ledger.find("k")->Holder == "a");
+  Ledger.apply(event(proto::ClaimEvent::RELEASE, "k", "b"));
+  CHECK(Ledger.find("k")->Holder == "a");
+  Ledger.apply(event(proto::ClaimEvent::RELEASE, "k", "a"));
+  Ledger.apply(event(proto::ClaimEvent::CLAIM, "k", "c"));
+  CHECK(Ledger.find("k")->Holder == "c");
+  Ledger.apply(event(proto::ClaimEvent::RESULT, "k", "a"));
+  CHECK_FALSE(Ledger.find("k")->Result);
+  Ledger.apply(event(proto::ClaimEvent::RESULT, "k", "c"));
+  Ledger.apply(event(proto::ClaimEvent::RELEASE, "k", "c"));
+  CHECK(Ledger.find("k")->Result);
+  CHECK(Ledger.find("k")->Holder == "c");
+}
+
+TEST_CASE("keys carry their time, and old ones are refused") {
+  WallTime CreatedAt;
+  CHECK(parseKeyTime("1700000000000-x", &CreatedAt).ok());
+  CHECK(CreatedAt == Now);
+  for (const char *Wrong : {"", "x", "17", "17-", "-x", "17x", "-5-x"})
+    CHECK_FALSE(parseKeyTime(Wrong, &CreatedAt).ok());
+  CHECK_FALSE(parseKeyTime("1-" + std::string(200, 'x'), &CreatedAt).ok());
+  CHECK(checkKeyAge(Now, Millis(1000), Now + Millis(900)).ok());
+  CHECK_FALSE(checkKeyAge(Now, Millis(1000), Now + Millis(1100)).ok());
+  CHECK_FALSE(checkKeyAge(Now + std::chrono::hours(1), Millis(1000), Now).ok());
+}
+
+TEST_CASE("of many nodes that claim a key at once just one may run") {
+  for (int Round = 0; Round < 20; ++Round) {
+    FakeLog Log;
+    std::atomic<int> Granted = 0;
+    std::vector<std::thread> Nodes;
+    for (int I = 0; I < 8; ++I)
+      Nodes.emplace_back([&, I] {
+        ClaimStream<FakeLog> Stream(&Log, "c");
+        const ClaimAnswer Answer =
+            Stream.claim("k", absl::StrCat("n", I), 1, monoNow() + Millis(50));
+        Granted += Answer.Answer == Kind::Granted ? 1 : 0;
+        CHECK(Answer.Answer != Kind::Unavailable);
+      });
+    for (std::thread &Each : Nodes)
+      Each.join();
+    CHECK(Granted == 1);
+  }
+}
+
+TEST_CASE("a repeated request gets the first answer") {
+  FakeLog Log;
+  ClaimStream<FakeLog> First(&Log, "c");
+  REQUIRE(First.claim("k", "a", 7, soon()).Answer == Kind::Granted);
+  proto::ClaimEvent Result = event(proto::ClaimEvent::RESULT, "k", "a");
+  Result.set_body("booked");
+  First.recordLater(Result);
+  First.flush(Millis(100));
+  ClaimStream<FakeLog> Second(&Log, "c");
+  const ClaimAnswer Again = Second.claim("k", "b", 7, soon());
+  CHECK(Again.Answer == Kind::Repeated);
+  CHECK(Again.Result.body() == "booked");
+  CHECK(Again.HolderFingerprint == 7);
+}
+
+TEST_CASE("a claim without a result never runs again") {
+  FakeLog Log;
+  {
+    ClaimStream<FakeLog> Dying(&Log, "c");
+    REQUIRE(Dying.claim("k", "a", 1, soon()).Answer == Kind::Granted);
+  }
+  ClaimStream<FakeLog> Next(&Log, "c");
+  CHECK(Next.claim("k", "b", 1, monoNow() + Millis(30)).Answer == Kind::Held);
+}
+
+TEST_CASE("with the log down nothing runs") {
+  FakeLog Log;
+  Log.set(true);
+  ClaimStream<FakeLog> Stream(&Log, "c");
+  CHECK(Stream.claim("k", "a", 1, soon()).Answer == Kind::Unavailable);
+}
+
+TEST_CASE("a claim whose append lost its answer never runs and is released") {
+  FakeLog Log;
+  Log.set(false, 1);
+  ClaimStream<FakeLog> Stream(&Log, "c");
+  CHECK(Stream.claim("k", "a", 1, soon()).Answer == Kind::Unavailable);
+  ClaimStream<FakeLog> Other(&Log, "c");
+  CHECK(Other.claim("k", "b", 1, monoNow() + Millis(30)).Answer == Kind::Held);
+  // The first flush finds the claim on the log, the second writes the release.
+  Stream.flush(Millis(100));
+  Stream.flush(Millis(100));
+  CHECK(Other.claim("k", "c", 1, soon()).Answer == Kind::Granted);
+}
+
+TEST_CASE("a claim that can't be read back never runs") {
+  FakeLog Log;
+  Log.setReadsDown(true);
+  ClaimStream<FakeLog> Stream(&Log, "c");
+  CHECK(Stream.claim("k", "a", 1, soon()).Answer == Kind::Unavailable);
+}
+
+TEST_CASE("a reader that starts after records expired goes on from the rest") {
+  FakeLog Log;
+  ClaimStream<FakeLog> First(&Log, "c");
+  REQUIRE(First.claim("old", "a", 1, soon()).Answer == Kind::Granted);
+  REQUIRE(First.claim("new", "b", 1, soon()).Answer == Kind::Granted);
+  Log.expireBefore(1);
+  ClaimStream<FakeLog> Second(&Log, "c");
+  CHECK(Second.claim("new", "c", 1, monoNow() + Millis(30)).Answer ==
+        Kind::Held);
+}
+
+TEST_CASE("claims that arrive together share appends") {
+  FakeLog Log;
+  ClaimStream<FakeLog> Stream(&Log, "c");
+  constexpr int Claims = 64;
+  std::atomic<int> Granted = 0;
+  std::vector<std::thread> Callers;
+  for (int I = 0; I < Claims; ++I)
+    Callers.emplace_back([&, I] {
+      const ClaimAnswer Answer =
+          Stream.claim(absl::StrCat("k", I), absl::StrCat("a", I), 1,
+                       monoNow() + Millis(5000));
+      Granted += Answer.Answer == Kind::Granted ? 1 : 0;
+    });
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  CHECK(Granted == Claims);
+  CHECK(Log.appends() <= Claims);
+}
+
+} // namespace
+} // namespace persimmonquay
--- a/testing/moves/fake_service.cc
+++ b/testing/fake_service.cc
@@ -1,4 +1,4 @@
-#include "testing/moves/fake_service.h"
+#include "testing/fake_service.h"
 
 #include <algorithm>
 #include <array>
--- a/testing/moves/fake_service.h
+++ b/testing/fake_service.h
@@ -1,7 +1,7 @@
 // A small fake of a service's upstreams, at the interface of the move policy:
 // it turns shares into calls and calls into evidence.
-#ifndef PERSIMMONQUAY_TESTING_MOVES_FAKE_SERVICE_H
-#define PERSIMMONQUAY_TESTING_MOVES_FAKE_SERVICE_H
+#ifndef PERSIMMONQUAY_TESTING_FAKE_SERVICE_H
+#define PERSIMMONQUAY_TESTING_FAKE_SERVICE_H
 
 #include "persimmonquay/base/time.h"
 #include "persimmonquay/move/evidence_table.h"
@@ -94,4 +94,4 @@
 
 } // namespace persimmonquay::testing
 
-#endif // PERSIMMONQUAY_TESTING_MOVES_FAKE_SERVICE_H
+#endif // PERSIMMONQUAY_TESTING_FAKE_SERVICE_H
