Make lint clean; hold the sharing of appends in a test that can fail

Change: they are mended; an unused field is gone. The test "claims that arrive together share appends" could not fail; its log now takes 20 ms for an append and at most half as many appends are allowed.

--- a/benchmarks/measuring.cc
+++ b/benchmarks/measuring.cc
@@ -1,6 +1,7 @@
 #include "benchmarks/measuring.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace persimmonquay::testing {
 
@@ -9,7 +10,7 @@
     return 0;
   std::sort(Values.begin(), Values.end());
   const auto Index = static_cast<std::size_t>(
-      Fraction * static_cast<double>(Values.size() - 1) + 0.5);
+      std::lround(Fraction * static_cast<double>(Values.size() - 1)));
   return Values[Index];
 }
 
--- a/persimmonquay/base/base_test.cc
+++ b/persimmonquay/base/base_test.cc
@@ -88,8 +88,10 @@
   RcuPointer<Pair> Pointer(std::make_unique<const Pair>(2, 0));
   std::atomic<bool> Stop = false;
   std::atomic<int> Torn = 0;
+  constexpr std::size_t ReaderCount = 4;
   std::vector<std::thread> Readers;
-  for (int I = 0; I < 4; ++I)
+  Readers.reserve(ReaderCount);
+  for (std::size_t I = 0; I < ReaderCount; ++I)
     Readers.emplace_back([&] {
       int Newest = 0;
       while (!Stop) {
--- a/persimmonquay/node/node_test.cc
+++ b/persimmonquay/node/node_test.cc
@@ -89,7 +89,8 @@
     const bool Right = Status.empty()
                            ? FirstLine.empty()
                            : FirstLine.starts_with("HTTP/1.1 " + Status);
-    CHECK_MESSAGE(Right, FirstLine, " for ", Bytes.substr(0, 100));
+    const std::string Start = Bytes.substr(0, 100);
+    CHECK_MESSAGE(Right, FirstLine, " for ", Start);
   }
   CHECK(Echo.Calls == 0);
 }
--- a/persimmonquay/routing/claim_test.cc
+++ b/persimmonquay/routing/claim_test.cc
@@ -60,8 +60,10 @@
   for (int Round = 0; Round < 20; ++Round) {
     FakeLog Log;
     std::atomic<int> Granted = 0;
+    constexpr int NodeCount = 8;
     std::vector<std::thread> Nodes;
-    for (int I = 0; I < 8; ++I)
+    Nodes.reserve(NodeCount);
+    for (int I = 0; I < NodeCount; ++I)
       Nodes.emplace_back([&, I] {
         ClaimStream<FakeLog> Stream(&Log, "c");
         const ClaimAnswer Answer =
@@ -140,10 +142,12 @@
 
 TEST_CASE("claims that arrive together share appends") {
   FakeLog Log;
+  Log.setAppendTime(Millis(20));
   ClaimStream<FakeLog> Stream(&Log, "c");
   constexpr int Claims = 64;
   std::atomic<int> Granted = 0;
   std::vector<std::thread> Callers;
+  Callers.reserve(Claims);
   for (int I = 0; I < Claims; ++I)
     Callers.emplace_back([&, I] {
       const ClaimAnswer Answer =
@@ -154,7 +158,7 @@
   for (std::thread &Caller : Callers)
     Caller.join();
   CHECK(Granted == Claims);
-  CHECK(Log.appends() <= Claims);
+  CHECK(Log.appends() <= Claims / 2);
 }
 
 } // namespace
--- a/persimmonquay/routing/routing_test.cc
+++ b/persimmonquay/routing/routing_test.cc
@@ -78,8 +78,10 @@
   AdmissionGate Gate(3, 100);
   std::atomic<int> Running = 0;
   std::atomic<int> Most = 0;
+  constexpr int CallerCount = 20;
   std::vector<std::thread> Callers;
-  for (int I = 0; I < 20; ++I)
+  Callers.reserve(CallerCount);
+  for (int I = 0; I < CallerCount; ++I)
     Callers.emplace_back([&] {
       REQUIRE(Gate.acquire({0, monoNow() + Millis(10000)}) ==
               AdmissionResult::Admitted);
@@ -253,8 +255,10 @@
 }
 
 TEST_CASE("a small share goes to few endpoints in each data centre") {
+  constexpr int Endpoints = 10;
   std::vector<proto::Member> Members;
-  for (int I = 0; I < 10; ++I)
+  Members.reserve(Endpoints);
+  for (int I = 0; I < Endpoints; ++I)
     Members.push_back(upstream(absl::StrCat("n", I), "near"));
   const auto Table = EndpointTable::build(Members, nullptr);
   EndpointWish Wish = wish();
--- a/testing/failures/request_failures_test.cc
+++ b/testing/failures/request_failures_test.cc
@@ -171,11 +171,11 @@
   };
   BookingCallers Callers(&Running);
   Callers.start(6);
-  for (int Round = 0; Round < 3; ++Round) {
-    Host &Killed = Running.host(static_cast<std::size_t>(2 * Round));
+  for (std::size_t Round = 0; Round < 3; ++Round) {
+    Host &Killed = Running.host(2 * Round);
     Running.killAndRestart(&Killed);
     Running.controlLog("lose_answers=5");
-    Host &Frozen = Running.host(static_cast<std::size_t>(2 * Round + 1));
+    Host &Frozen = Running.host(2 * Round + 1);
     Frozen.Node->signal(SIGSTOP);
     std::this_thread::sleep_for(Millis(1500));
     Frozen.Node->signal(SIGCONT);
@@ -190,8 +190,8 @@
   for (const auto &Each : Running.hosts())
     KeepRuns(*Each);
   CHECK(Answered > 20);
-  for (const auto &[Key, Count] : Runs)
-    CHECK_MESSAGE(Count == 1, Key);
+  for (const auto &Run : Runs)
+    CHECK_MESSAGE(Run.second == 1, Run.first);
   for (const std::string &Key : Callers.NotRun)
     CHECK_MESSAGE(!Runs.contains(Key), Key);
 }
--- a/testing/fake_log.h
+++ b/testing/fake_log.h
@@ -4,9 +4,11 @@
 
 #include "persimmonquay/platform/log_client.h"
 #include <algorithm>
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace persimmonquay::testing {
@@ -16,6 +18,7 @@
 public:
   absl::StatusOr<std::uint64_t> append(const std::string &Stream,
                                        const std::string &Payload, Millis) {
+    std::this_thread::sleep_for(this->AppendTime.load());
     std::lock_guard<std::mutex> Lock(this->Mutex);
     if (this->Down)
       return absl::UnavailableError("down");
@@ -60,6 +63,7 @@
     std::lock_guard<std::mutex> Lock(this->Mutex);
     this->ReadsDown = Value;
   }
+  void setAppendTime(Millis Value) { this->AppendTime = Value; }
   void expireBefore(std::uint64_t Offset) {
     std::lock_guard<std::mutex> Lock(this->Mutex);
     this->Oldest = Offset;
@@ -77,6 +81,7 @@
     return Chunk;
   }
 
+  std::atomic<Millis> AppendTime{Millis(0)};
   std::mutex Mutex;
   std::map<std::string, std::vector<std::string>> Streams;
   bool Down = false;
--- a/testing/fake_service.cc
+++ b/testing/fake_service.cc
@@ -50,8 +50,7 @@
 
 FakeService::FakeService(Condition Wrong, std::uint64_t Seed, Millis MoveTime,
                          bool Concentrated)
-    : Wrong(Wrong), MoveTime(MoveTime), Concentrated(Concentrated),
-      Random(Seed),
+    : Wrong(Wrong), Concentrated(Concentrated), Random(Seed),
       CallsPerSecond(Wrong == Condition::QuietService ? QuietCallsPerSecond
                                                       : BusyCallsPerSecond),
       RareRate(std::uniform_real_distribution<>(0.03, 0.1)(this->Random)),
--- a/testing/fake_service.h
+++ b/testing/fake_service.h
@@ -82,7 +82,6 @@
   bool sharedFailure(Millis SinceStart);
 
   const Condition Wrong;
-  const Millis MoveTime;
   const bool Concentrated;
   std::mt19937_64 Random;
   double CallsPerSecond;
