--- a/persimmonquay/node/node_test.cc
+++ b/persimmonquay/node/node_test.cc
@@ -6,6 +6,7 @@
 #include "persimmonquay/node/local_api.h"
 #include "persimmonquay/node/settings.h"
 #include "proto/settings.pb.h"
+#include "testing/free_port.h"
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
@@ -17,13 +18,9 @@
 namespace persimmonquay {
 namespace {
 
-constexpr char Address[] = "127.0.0.1";
+using testing::freePort;
 
-/// Returns a port that is free now.
-std::uint16_t freePort() {
-  Poco::Net::ServerSocket Socket(Poco::Net::SocketAddress(Address, 0));
-  return Socket.address().port();
-}
+constexpr char Address[] = "127.0.0.1";
 
 /// A server that answers the body it got and counts the calls.
 class EchoServer {
--- a/persimmonquay/peer/peer_test.cc
+++ b/persimmonquay/peer/peer_test.cc
@@ -3,8 +3,7 @@
 #include "persimmonquay/peer/group_state.h"
 #include "persimmonquay/peer/sync_channel.h"
 #include "proto/settings.pb.h"
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/SocketAddress.h>
+#include "testing/free_port.h"
 #include <absl/strings/str_cat.h>
 #include <deque>
 #include <doctest/doctest.h>
@@ -17,12 +16,9 @@
 namespace persimmonquay {
 namespace {
 
-constexpr char Address[] = "127.0.0.1";
+using testing::freePort;
 
-std::uint16_t freePort() {
-  Poco::Net::ServerSocket Socket(Poco::Net::SocketAddress(Address, 0));
-  return Socket.address().port();
-}
+constexpr char Address[] = "127.0.0.1";
 
 TEST_CASE("addresses of other data centres are translated, others are not") {
   proto::NodeSettings Settings;
