--- a/cmake/Library.cmake
+++ b/cmake/Library.cmake
@@ -10,7 +10,7 @@
   cmake_parse_arguments(ARG "" "" "SOURCES;TESTS;DEPENDS" ${ARGN})
   add_library(pq_${NAME} STATIC ${ARG_SOURCES})
   target_link_libraries(pq_${NAME} PUBLIC pq_options pq_proto ${ARG_DEPENDS})
-  if(ARG_TESTS)
+  if(ARG_TESTS AND PERSIMMONQUAY_TESTS)
     add_executable(${NAME}_test ${ARG_TESTS}
       ${CMAKE_SOURCE_DIR}/testing/test_main.cc)
     target_link_libraries(${NAME}_test PRIVATE pq_${NAME})
--- a/persimmonquay/base/time.h
+++ b/persimmonquay/base/time.h
@@ -9,6 +9,7 @@
 namespace persimmonquay {
 
 using Millis = std::chrono::milliseconds;
+using Micros = std::chrono::microseconds;
 
 /// Time of day, as operators write it; may jump when a clock is set.
 using WallTime = std::chrono::sys_time<Millis>;
--- a/persimmonquay/cli/command_line.cc
+++ b/persimmonquay/cli/command_line.cc
@@ -20,6 +20,11 @@
         "settings file, JSON with comments");
     return Result;
   }
+  if (Command == "sidecar") {
+    Add("settings", options::value<std::string>(),
+        "settings file, JSON with comments; default: as the platform names it");
+    return Result;
+  }
   if (Command == "config check") {
     Add("file", options::value<std::string>(), "file of services and routes");
     return Result;
@@ -146,6 +151,10 @@
        "Run the daemon beside an upstream.",
        "persimmonquay node --settings node.json",
        {"settings"}},
+      {"sidecar",
+       "Run the daemon beside an upstream on the platform.",
+       "persimmonquay sidecar --settings sidecar.json",
+       {}},
       {"config check",
        "Check a file of services and routes.",
        "persimmonquay config check config.json",
--- a/persimmonquay/cli/run.cc
+++ b/persimmonquay/cli/run.cc
@@ -10,6 +10,7 @@
 #include "persimmonquay/config/acceptance.h"
 #include "persimmonquay/node/node.h"
 #include "persimmonquay/node/settings.h"
+#include "platform/sidecar_process.h"
 #include "proto/settings.pb.h"
 #include <absl/strings/str_cat.h>
 #include <csignal>
@@ -125,6 +126,11 @@
   return ExitCode::Done;
 }
 
+ExitCode runSidecar(const Invocation &Asked) {
+  return static_cast<ExitCode>(platform::runSidecar(
+      Asked.has("settings") ? Asked.text("settings") : ""));
+}
+
 ExitCode runConfigCheck(const Invocation &Asked) {
   proto::ResourceFile File;
   const absl::Status Read = readResources(Asked.text("file"), &File);
@@ -280,6 +286,7 @@
 const std::map<std::string, Runner> &runners() {
   static const std::map<std::string, Runner> All = {
       {"node", runNode},
+      {"sidecar", runSidecar},
       {"config check", runConfigCheck},
       {"config publish", runConfigPublish},
       {"config show", runConfigShow},
--- /dev/null
+++ b/persimmonquay/daemon/call_router.h
@@ -0,0 +1,114 @@
+// Takes the calls of this host's callers to upstreams anywhere in the mesh.
+#ifndef PERSIMMONQUAY_DAEMON_CALL_ROUTER_H
+#define PERSIMMONQUAY_DAEMON_CALL_ROUTER_H
+
+#include "persimmonquay/base/time.h"
+#include "persimmonquay/daemon/asio.h"
+#include "persimmonquay/daemon/header_names.h"
+#include "persimmonquay/mesh/route_table.h"
+#include "persimmonquay/mesh/traffic_split.h"
+#include "persimmonquay/traffic/placement.h"
+#include "persimmonquay/traffic/repeat_budget.h"
+#include "proto/link.pb.h"
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace persimmonquay {
+
+struct CallerRequest;
+class Directory;
+class UpstreamGate;
+class PeerLink;
+class RolloutBook;
+
+/// What an egress is built from; all references must outlive it.
+struct EgressParts {
+  asio::io_context &Context;
+  HeaderNames Names;
+  /// Service of this host, on whose behalf its callers call.
+  std::string OwnService;
+  std::string OwnNode;
+  std::string DataCentre;
+  RepeatLimits Repeats;
+  UpstreamGate &OwnGate;
+  RolloutBook &Rollouts;
+};
+
+/// Finds the route of each call, chooses upstreams, offers the call to the
+/// nodes beside them, repeats what may be repeated, and always gives a final
+/// answer: the upstream's own, 503 for what has not run and won't, 502 or 504
+/// for what may have run. Lives on one thread.
+class CallRouter {
+public:
+  using LinkHandler = std::function<void(proto::MeshConfiguration)>;
+
+  explicit CallRouter(EgressParts Parts, LinkHandler OnConfiguration);
+  CallRouter(const CallRouter &) = delete;
+  CallRouter &operator=(const CallRouter &) = delete;
+  ~CallRouter();
+
+  // Commands.
+
+  /// Answers one request of a caller.
+  asio::awaitable<HttpResponse> serve(std::shared_ptr<CallerRequest> Request);
+
+  /// Takes a configuration into force.
+  void setRoutes(std::shared_ptr<const RouteTable> Table);
+
+  /// Takes over what is known of the nodes and keeps links to them.
+  void updateNodes(const Directory &Nodes);
+
+  /// Closes all links.
+  void stop();
+
+  // Queries.
+
+  const std::shared_ptr<const RouteTable> &routes() const {
+    return this->Routes;
+  }
+  std::shared_ptr<PeerLink> linkTo(const std::string &Node) const;
+  /// Returns whether an upstream of some service can be reached.
+  bool canReachUpstreams() const;
+
+private:
+  struct Target;
+  struct Call;
+  struct ServiceState;
+
+  std::optional<HttpResponse> admit(Call &Asked);
+  asio::awaitable<HttpResponse> forward(std::shared_ptr<Call> Asked);
+  asio::awaitable<bool> offer(const std::shared_ptr<Call> &Asked, Target &To,
+                              std::chrono::microseconds MaxWait);
+  std::vector<std::shared_ptr<Target>> candidates(Call &Asked);
+  std::shared_ptr<Target> nextTarget(Call &Asked, Micros *MaxWait);
+  std::shared_ptr<Target> bestKnown(Call &Asked, Micros *MaxWait);
+  proto::CallRequest callRequest(const Call &Asked, const Target &To,
+                                 Micros MaxWait) const;
+  bool mayRepeat(Call &Asked, const proto::CallReply &Reply);
+  void noteReply(Call &Asked, Target &To, const proto::CallReply &Reply);
+  HttpResponse answer(const proto::CallReply &Reply) const;
+  HttpResponse refuse(const Call &Asked, unsigned Status,
+                      const std::string &Reason, Millis RetryAfter);
+  HttpResponse finalFailure(Call &Asked);
+  ServiceState &stateOf(const std::string &Service);
+  double random();
+
+  EgressParts Parts;
+  LinkHandler OnConfiguration;
+  std::shared_ptr<const RouteTable> Routes;
+  std::map<std::string, std::shared_ptr<Target>> Targets;
+  std::map<std::string, TrafficSplit> Splits;
+  std::map<std::string, std::unique_ptr<ServiceState>> Services;
+  std::map<std::string, WorkEstimate> RouteWork;
+  /// Longest time that callers of a route have been seen to wait.
+  std::map<std::string, Millis> FullPatience;
+  std::mt19937_64 Random;
+};
+
+} // namespace persimmonquay
+
+#endif // PERSIMMONQUAY_DAEMON_CALL_ROUTER_H
--- /dev/null
+++ b/persimmonquay/daemon/gossip.cc
@@ -0,0 +1,196 @@
+#include "persimmonquay/daemon/gossip.h"
+
+#include "persimmonquay/base/hashing.h"
+#include "persimmonquay/base/logging.h"
+#include "persimmonquay/fleet/directory.h"
+#include "persimmonquay/rollout/rollout_book.h"
+#include <boost/asio/buffer.hpp>
+#include <utility>
+
+namespace persimmonquay {
+namespace internal {
+
+/// Interval at which a node compares what it knows with another one.
+constexpr Millis CompareInterval{1000};
+
+/// One comparison in this many is with another data centre.
+constexpr std::uint64_t RemoteCompareEvery = 4;
+
+/// Longest datagram that no common path splits.
+constexpr std::size_t MaxDatagramBytes = 1300;
+
+} // namespace internal
+
+Gossip::Gossip(asio::io_context &Loop, Directory &Entries, RolloutBook &Book,
+               Events Handlers)
+    : Context(Loop), Nodes(Entries), Rollouts(Book), On(std::move(Handlers)),
+      Socket(Loop), CompareTimer(Loop),
+      Random(hashBytes(Entries.own().node(), Entries.own().boot())) {}
+
+bool Gossip::start(const Udp::endpoint &Address) {
+  ErrorCode Error;
+  this->Socket.open(Address.protocol(), Error);
+  if (!Error)
+    this->Socket.bind(Address, Error);
+  if (!Error)
+    this->Socket.non_blocking(true, Error);
+  if (Error) {
+    logLine(LogLevel::Error, "can't open the datagram socket",
+            {{"error", Error.message()}});
+    return false;
+  }
+  asio::co_spawn(
+      this->Context, [this] { return this->receiveLoop(); }, asio::detached);
+  asio::co_spawn(
+      this->Context, [this] { return this->compareLoop(); }, asio::detached);
+  return true;
+}
+
+void Gossip::stop() {
+  this->Stopped = true;
+  ErrorCode Ignored;
+  this->Socket.close(Ignored);
+  this->CompareTimer.cancel();
+}
+
+proto::GossipMessage Gossip::message() const {
+  proto::GossipMessage Result;
+  *Result.mutable_sender() = this->Nodes.own();
+  Result.set_configuration_version(this->ConfigurationVersion);
+  return Result;
+}
+
+void Gossip::announce() { this->sendToAll(this->message()); }
+
+void Gossip::greet(const proto::NodeEntry &Node) {
+  proto::GossipMessage Message = this->message();
+  Message.set_directory_hash(this->Nodes.hash());
+  Message.set_wants_difference(true);
+  this->send(Message, Node);
+}
+
+void Gossip::spread(const proto::RolloutProgress &Progress) {
+  proto::GossipMessage Message = this->message();
+  *Message.add_rollouts() = Progress;
+  this->sendToAll(Message);
+}
+
+void Gossip::sendTallies(const std::string &Driver,
+                         const std::vector<proto::RolloutTally> &Tallies) {
+  const proto::NodeEntry *Node = this->Nodes.find(Driver);
+  if (Node == nullptr)
+    return;
+  proto::GossipMessage Message = this->message();
+  for (const proto::RolloutTally &Tally : Tallies) {
+    if (Message.ByteSizeLong() + Tally.ByteSizeLong() >
+        internal::MaxDatagramBytes) {
+      this->send(Message, *Node);
+      Message.clear_tallies();
+    }
+    *Message.add_tallies() = Tally;
+  }
+  if (Message.tallies_size() > 0)
+    this->send(Message, *Node);
+}
+
+asio::awaitable<void> Gossip::receiveLoop() {
+  while (!this->Stopped) {
+    Udp::endpoint Sender;
+    const auto [Error, Size] = co_await this->Socket.async_receive_from(
+        asio::buffer(this->Input), Sender, NoThrow);
+    if (this->Stopped || Error == asio::error::operation_aborted)
+      break;
+    proto::GossipMessage Message;
+    if (Error ||
+        !Message.ParseFromArray(this->Input.data(), static_cast<int>(Size))) {
+      logLine(LogLevel::Debug, "unreadable datagram dropped");
+      continue;
+    }
+    this->handle(Message);
+  }
+}
+
+void Gossip::handle(const proto::GossipMessage &Message) {
+  const MonoTime Now = monoNow();
+  const std::uint64_t OwnBoot = this->Nodes.own().boot();
+  bool Changed = this->Nodes.merge(Message.sender(), Now) ==
+                 Directory::Merge::Newer;
+  for (const proto::NodeEntry &Entry : Message.entries())
+    Changed |= this->Nodes.merge(Entry, Now) == Directory::Merge::Newer;
+  if (Changed)
+    this->On.OnNodes();
+  if (this->Nodes.own().boot() != OwnBoot)
+    this->announce();
+  for (const proto::RolloutProgress &Progress : Message.rollouts())
+    this->On.OnRollout(Progress);
+  for (const proto::RolloutTally &Tally : Message.tallies())
+    this->On.OnTally(Tally);
+  if (Message.configuration_version() > this->ConfigurationVersion)
+    this->On.OnConfigurationVersion(Message.sender().node(),
+                                    Message.configuration_version());
+  const bool Differs =
+      Message.directory_hash() != 0 &&
+      (Message.directory_hash() != this->Nodes.hash() ||
+       Message.configuration_version() < this->ConfigurationVersion);
+  if (Message.wants_difference() && Differs)
+    this->sendEverything(Message.sender());
+}
+
+void Gossip::sendEverything(const proto::NodeEntry &To) {
+  proto::GossipMessage Message = this->message();
+  for (const proto::RolloutProgress *Progress : this->Rollouts.all())
+    *Message.add_rollouts() = *Progress;
+  for (const proto::NodeEntry *Entry : this->Nodes.entries()) {
+    if (Entry->node() == this->Nodes.own().node())
+      continue;
+    if (Message.ByteSizeLong() + Entry->ByteSizeLong() >
+        internal::MaxDatagramBytes) {
+      this->send(Message, To);
+      Message = this->message();
+    }
+    *Message.add_entries() = *Entry;
+  }
+  // The receiver in turn sends back what is unknown here.
+  Message.set_directory_hash(this->Nodes.hash());
+  this->send(Message, To);
+}
+
+asio::awaitable<void> Gossip::compareLoop() {
+  for (std::uint64_t Round = this->Random();; ++Round) {
+    this->CompareTimer.expires_after(internal::CompareInterval);
+    co_await this->CompareTimer.async_wait(NoThrow);
+    if (this->Stopped)
+      break;
+    const bool Remote = Round % internal::RemoteCompareEvery == 0;
+    std::vector<const proto::NodeEntry *> Choice;
+    for (const proto::NodeEntry *Entry : this->Nodes.others())
+      if ((Entry->data_centre() != this->Nodes.own().data_centre()) == Remote)
+        Choice.push_back(Entry);
+    if (!Choice.empty())
+      this->greet(*Choice[this->Random() % Choice.size()]);
+    this->Nodes.forgetLeft(monoNow());
+  }
+}
+
+void Gossip::send(const proto::GossipMessage &Message,
+                  const proto::NodeEntry &To) {
+  ErrorCode Error;
+  const asio::ip::address Address =
+      asio::ip::make_address(To.address(), Error);
+  if (!Error)
+    this->Socket.send_to(
+        asio::buffer(Message.SerializeAsString()),
+        Udp::endpoint(Address, static_cast<std::uint16_t>(To.link_port())), 0,
+        Error);
+  // What a lost datagram carried is found by the next comparison.
+  if (Error)
+    logLine(LogLevel::Debug, "datagram not sent",
+            {{"member", To.node()}, {"error", Error.message()}});
+}
+
+void Gossip::sendToAll(const proto::GossipMessage &Message) {
+  for (const proto::NodeEntry *Entry : this->Nodes.others())
+    this->send(Message, *Entry);
+}
+
+} // namespace persimmonquay
--- /dev/null
+++ b/persimmonquay/daemon/gossip.h
@@ -0,0 +1,84 @@
+// Tells nodes about each other by datagrams.
+#ifndef PERSIMMONQUAY_DAEMON_GOSSIP_H
+#define PERSIMMONQUAY_DAEMON_GOSSIP_H
+
+#include "persimmonquay/base/time.h"
+#include "persimmonquay/daemon/asio.h"
+#include "proto/link.pb.h"
+#include <array>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace persimmonquay {
+
+class Directory;
+class RolloutBook;
+
+/// Spreads entries of nodes and the progress of rollouts. What changes is sent
+/// at once to every node known; what gets lost is found by comparing hashes
+/// with a random node each second. Lives on one thread.
+class Gossip {
+public:
+  struct Events {
+    /// An entry of the directory has changed.
+    std::function<void()> OnNodes;
+    /// `Node` holds a configuration of that version.
+    std::function<void(const std::string &Node, std::uint64_t Version)>
+        OnConfigurationVersion;
+    std::function<void(const proto::RolloutProgress &)> OnRollout;
+    std::function<void(const proto::RolloutTally &)> OnTally;
+  };
+
+  Gossip(asio::io_context &Loop, Directory &Entries, RolloutBook &Book,
+         Events Handlers);
+
+  // Commands.
+
+  /// Opens the socket; returns false when the address is taken.
+  bool start(const Udp::endpoint &Address);
+  void stop();
+
+  /// Tells all nodes known this node's entry.
+  void announce();
+
+  /// Tells one node this node's entry and asks for what it knows.
+  void greet(const proto::NodeEntry &Node);
+
+  /// Tells all nodes known how far a rollout is.
+  void spread(const proto::RolloutProgress &Progress);
+
+  /// Sends counts to the node that decides on a rollout.
+  void sendTallies(const std::string &Driver,
+                   const std::vector<proto::RolloutTally> &Tallies);
+
+  /// Sets the version that is told with every message.
+  void setConfigurationVersion(std::uint64_t Version) {
+    this->ConfigurationVersion = Version;
+  }
+
+private:
+  asio::awaitable<void> receiveLoop();
+  asio::awaitable<void> compareLoop();
+  void handle(const proto::GossipMessage &Message);
+  void sendEverything(const proto::NodeEntry &To);
+  proto::GossipMessage message() const;
+  void send(const proto::GossipMessage &Message, const proto::NodeEntry &To);
+  void sendToAll(const proto::GossipMessage &Message);
+
+  asio::io_context &Context;
+  Directory &Nodes;
+  RolloutBook &Rollouts;
+  Events On;
+  Udp::socket Socket;
+  asio::steady_timer CompareTimer;
+  std::array<char, 65536> Input{};
+  std::uint64_t ConfigurationVersion = 0;
+  std::mt19937_64 Random;
+  bool Stopped = false;
+};
+
+} // namespace persimmonquay
+
+#endif // PERSIMMONQUAY_DAEMON_GOSSIP_H
--- /dev/null
+++ b/persimmonquay/daemon/mesh_node.h
@@ -0,0 +1,122 @@
+// One node, put together: the daemon beside an upstream.
+#ifndef PERSIMMONQUAY_DAEMON_MESH_NODE_H
+#define PERSIMMONQUAY_DAEMON_MESH_NODE_H
+
+#include "persimmonquay/base/time.h"
+#include "persimmonquay/daemon/asio.h"
+#include "persimmonquay/daemon/call_router.h"
+#include "persimmonquay/daemon/gossip.h"
+#include "persimmonquay/daemon/header_names.h"
+#include "persimmonquay/daemon/caller_server.h"
+#include "persimmonquay/daemon/upstream_gate.h"
+#include "persimmonquay/daemon/rollout_driver.h"
+#include "persimmonquay/fleet/directory.h"
+#include "persimmonquay/fleet/upstream_registry.h"
+#include "persimmonquay/rollout/rollout_book.h"
+#include "proto/mesh.pb.h"
+#include "proto/sidecar.pb.h"
+#include <absl/status/status.h>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace persimmonquay {
+
+class LinkServer;
+
+/// Holds the parts of a node together. What speaks to the platform feeds it
+/// with configurations, orders, nodes and heartbeats, and is told of changes.
+/// Lives on one thread.
+class MeshNode {
+public:
+  /// Sets up a node step by step.
+  class Builder {
+  public:
+    Builder(asio::io_context &Loop, proto::SidecarSettings NodeSettings);
+    Builder &headerNames(HeaderNames Names);
+    /// Where the states of rollouts are stored.
+    Builder &statusWriter(RolloutDriver::StatusWriter Writer);
+    /// Called when the node's own entry has changed.
+    Builder &onOwnEntry(std::function<void(const proto::NodeEntry &)> Handler);
+    /// Returns InvalidArgument for settings that can't be used.
+    absl::StatusOr<std::unique_ptr<MeshNode>> build();
+
+  private:
+    friend class MeshNode;
+    asio::io_context &Context;
+    proto::SidecarSettings Settings;
+    HeaderNames Names;
+    RolloutDriver::StatusWriter Writer;
+    std::function<void(const proto::NodeEntry &)> OwnEntryHandler;
+    Tcp::endpoint CallerAddress;
+    Tcp::endpoint LinkAddress;
+    Tcp::endpoint UpstreamAddress;
+  };
+
+  MeshNode(const MeshNode &) = delete;
+  MeshNode &operator=(const MeshNode &) = delete;
+  ~MeshNode();
+
+  // Commands.
+
+  /// Opens the sockets. Returns Unavailable when an address is taken.
+  absl::Status start();
+
+  /// Takes a configuration into force unless a newer one is.
+  void applyConfiguration(proto::MeshConfiguration Next);
+
+  void orderRollout(const proto::RolloutOrder &Order);
+
+  /// Takes over what is stored about other nodes and greets them.
+  void learnNodes(const std::vector<proto::NodeEntry> &Entries);
+
+  void heartbeat(const Heartbeat &Beat);
+  void upstreamLeaves(const std::string &Instance, std::uint64_t StartedUnixMs);
+
+  /// Stops gracefully: no new callers, no new calls for the upstream, then the
+  /// end of what is under way. Calls `Done` when all has ended or the grace
+  /// period is nearly over.
+  void stopGracefully(std::function<void()> Done);
+
+  // Queries.
+
+  /// Whether callers may be sent here.
+  bool isReady() const;
+  const proto::NodeEntry &ownEntry() const { return this->Nodes.own(); }
+  std::size_t knownNodes() const { return this->Nodes.entries().size(); }
+
+private:
+  explicit MeshNode(const Builder &Parts);
+
+  void upstreamChanged();
+  void announceOwn();
+  void nodesChanged();
+  void configurationTold(const std::string &Node, std::uint64_t Version);
+  HttpLimits callerLimits() const;
+  asio::awaitable<void> watchUpstream();
+  asio::awaitable<void> shutDown(std::function<void()> Done);
+
+  asio::io_context &Context;
+  proto::SidecarSettings Settings;
+  std::function<void(const proto::NodeEntry &)> OwnEntryHandler;
+  Tcp::endpoint CallerAddress;
+  Tcp::endpoint LinkAddress;
+  Directory Nodes;
+  UpstreamRegistry Registry;
+  RolloutBook Rollouts;
+  UpstreamGate Gate;
+  CallRouter Outbound;
+  Gossip Messenger;
+  RolloutDriver Driver;
+  std::shared_ptr<CallerServer> Callers;
+  std::shared_ptr<LinkServer> Links;
+  asio::steady_timer WatchTimer;
+  /// Longest idle time that callers may have learnt from a configuration.
+  Millis LongestIdleTimeout{0};
+  bool Stopping = false;
+};
+
+} // namespace persimmonquay
+
+#endif // PERSIMMONQUAY_DAEMON_MESH_NODE_H
--- /dev/null
+++ b/persimmonquay/daemon/sockets.cc
@@ -0,0 +1,81 @@
+#include "persimmonquay/daemon/sockets.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <netinet/tcp.h>
+#include <string>
+#include <sys/socket.h>
+
+namespace persimmonquay {
+namespace internal {
+
+/// Connections that may wait to be accepted: a data centre's callers that
+/// reconnect together.
+constexpr int ListenBacklog = 1024;
+
+void setOption(int Handle, int Level, int Name, int Value) {
+  // A failure only delays the discovery of a dead peer.
+  static_cast<void>(setsockopt(Handle, Level, Name, &Value, sizeof(Value)));
+}
+
+} // namespace internal
+
+void configureConnection(Tcp::socket &Socket, Millis SilenceLimit) {
+  const int Handle = Socket.native_handle();
+  const int Limit = static_cast<int>(SilenceLimit.count());
+  internal::setOption(Handle, IPPROTO_TCP, TCP_NODELAY, 1);
+  internal::setOption(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, Limit);
+  internal::setOption(Handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  internal::setOption(Handle, IPPROTO_TCP, TCP_KEEPIDLE,
+                      std::max(1, Limit / 1000));
+  internal::setOption(Handle, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  internal::setOption(Handle, IPPROTO_TCP, TCP_KEEPCNT, 2);
+}
+
+absl::StatusOr<Tcp::endpoint> parseEndpoint(std::string_view Text) {
+  const std::size_t Colon = Text.rfind(':');
+  std::uint32_t Port = 0;
+  ErrorCode Error;
+  if (Colon != Text.npos &&
+      absl::SimpleAtoi(std::string(Text.substr(Colon + 1)), &Port) &&
+      Port <= UINT16_MAX) {
+    const asio::ip::address Address =
+        asio::ip::make_address(std::string(Text.substr(0, Colon)), Error);
+    if (!Error)
+      return Tcp::endpoint(Address, static_cast<std::uint16_t>(Port));
+  }
+  return absl::InvalidArgumentError(
+      absl::StrCat("\"", std::string(Text), "\" is not of the form IP:port"));
+}
+
+PeerState peekConnection(Tcp::socket &Socket) {
+  char Byte = 0;
+  const ssize_t Size = ::recv(Socket.native_handle(), &Byte, 1,
+                              MSG_PEEK | MSG_DONTWAIT);
+  if (Size > 0)
+    return PeerState::HasData;
+  if (Size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+    return PeerState::Quiet;
+  return PeerState::Closed;
+}
+
+absl::StatusOr<Tcp::acceptor> listenOn(asio::io_context &Context,
+                                       const Tcp::endpoint &Address) {
+  Tcp::acceptor Acceptor(Context);
+  ErrorCode Error;
+  Acceptor.open(Address.protocol(), Error);
+  if (!Error)
+    Acceptor.set_option(Tcp::acceptor::reuse_address(true), Error);
+  if (!Error)
+    Acceptor.bind(Address, Error);
+  if (!Error)
+    Acceptor.listen(internal::ListenBacklog, Error);
+  if (Error)
+    return absl::UnavailableError(
+        absl::StrCat("can't listen on ", Address.address().to_string(), ":",
+                     Address.port(), ": ", Error.message()));
+  return Acceptor;
+}
+
+} // namespace persimmonquay
--- /dev/null
+++ b/persimmonquay/mesh/mesh_test.cc
@@ -0,0 +1,81 @@
+#include "persimmonquay/mesh/route_table.h"
+#include "persimmonquay/mesh/traffic_split.h"
+#include <cmath>
+#include <doctest/doctest.h>
+
+namespace persimmonquay {
+namespace {
+
+proto::MeshConfiguration sampleConfiguration() {
+  proto::MeshConfiguration Result;
+  Result.set_version(7);
+  Result.add_services()->set_name("gallery");
+  Result.add_services()->set_name("orders");
+  proto::VirtualHost *Host = Result.add_hosts();
+  Host->set_host("boards.example");
+  for (const char *Prefix : {"/", "/v1/", "/v1/orders/"}) {
+    proto::MeshRoute *Route = Host->add_routes();
+    Route->set_name(Prefix);
+    Route->set_path_prefix(Prefix);
+    Route->set_timeout_ms(800);
+    proto::TrafficPart *Part = Route->add_parts();
+    Part->set_service("gallery");
+    Part->set_weight(1);
+  }
+  return Result;
+}
+
+TEST_CASE("the longest prefix wins") {
+  const RouteTable Table(sampleConfiguration());
+  CHECK(Table.find("boards.example", "/v1/orders/7?x=/y/")->name() ==
+        "/v1/orders/");
+  CHECK(Table.find("boards.example", "/v1/orders")->name() == "/v1/");
+  CHECK(Table.find("Boards.Example:8080", "/v2/7")->name() == "/");
+}
+
+TEST_CASE("an unknown host or path has no route") {
+  proto::MeshConfiguration Source = sampleConfiguration();
+  Source.mutable_hosts(0)->mutable_routes()->erase(
+      Source.mutable_hosts(0)->mutable_routes()->begin());
+  const RouteTable Table(std::move(Source));
+  CHECK(Table.find("boards.example", "/other/7") == nullptr);
+  CHECK(Table.find("boards.example", "") == nullptr);
+  CHECK(Table.find("other.example", "/v1/7") == nullptr);
+}
+
+TEST_CASE("a configuration that names an unknown service is refused") {
+  proto::MeshConfiguration Source = sampleConfiguration();
+  CHECK(checkConfiguration(Source).ok());
+  Source.mutable_hosts(0)->mutable_routes(1)->mutable_parts(0)->set_service(
+      "galery");
+  CHECK(checkConfiguration(Source).message() ==
+        "route \"/v1/\" of host \"boards.example\": service \"galery\" is not "
+        "defined");
+}
+
+TEST_CASE("a configuration without weights, timeout or slashes is refused") {
+  proto::MeshConfiguration NoWeight = sampleConfiguration();
+  NoWeight.mutable_hosts(0)->mutable_routes(0)->mutable_parts(0)->set_weight(0);
+  CHECK_FALSE(checkConfiguration(NoWeight).ok());
+  proto::MeshConfiguration NoTimeout = sampleConfiguration();
+  NoTimeout.mutable_hosts(0)->mutable_routes(0)->set_timeout_ms(0);
+  CHECK_FALSE(checkConfiguration(NoTimeout).ok());
+  proto::MeshConfiguration NoSlash = sampleConfiguration();
+  NoSlash.mutable_hosts(0)->mutable_routes(0)->set_path_prefix("/v1");
+  CHECK_FALSE(checkConfiguration(NoSlash).ok());
+}
+
+TEST_CASE("every part is within one call of its weight at any time") {
+  const std::vector<std::uint32_t> Weights = {70, 20, 10, 0};
+  TrafficSplit Split(Weights, 0.37);
+  std::vector<int> Counts(Weights.size(), 0);
+  for (int Calls = 1; Calls <= 1000; ++Calls) {
+    ++Counts[Split.next()];
+    for (std::size_t I = 0; I < Weights.size(); ++I)
+      CHECK(std::abs(Counts[I] - Calls * (Weights[I] / 100.0)) < 2.0);
+  }
+  CHECK(Counts[3] == 0);
+}
+
+} // namespace
+} // namespace persimmonquay
--- /dev/null
+++ b/persimmonquay/rollout/rollout_policy.cc
@@ -0,0 +1,128 @@
+#include "persimmonquay/rollout/rollout_policy.h"
+
+#include "persimmonquay/move/harm_evidence.h"
+#include <absl/strings/str_format.h>
+#include <array>
+#include <cmath>
+
+namespace persimmonquay {
+namespace internal {
+
+/// Share of the service's calls that the target gets from a part of the
+/// duration on. Up to a half of the time it stays below the share that may be
+/// exposed; the steps after it leave time to look and to finish.
+struct Step {
+  double From;
+  std::uint32_t SharePermille;
+};
+constexpr std::array<Step, 5> Steps = {
+    {{0.0, 70}, {0.52, 200}, {0.60, 400}, {0.68, 700}, {0.76, 1000}}};
+
+/// Part of the duration from which a version that takes all calls is complete.
+constexpr double CompleteFrom = 0.84;
+
+/// Time at the full share before the old upstreams are given up: every node has
+/// heard of the share, and calls sent to the old version have ended.
+constexpr Millis SettleTime{1000};
+
+/// Time at a step before the next one: evidence of its calls has arrived.
+constexpr Millis LookTime{700};
+
+/// Chance that a version without harm is taken back.
+constexpr double FalseAlarmRate = 0.001;
+
+/// Spans over which harm may begin; only weighs the start of harm.
+constexpr double PlannedSpans = 30;
+
+/// Failures after which a version is judged by its own rate alone, and the rate
+/// that is then bad whatever the other versions do.
+constexpr double CertainFailures = 25;
+constexpr double CertainRate = 0.2;
+
+/// Slots of the target, as a part of the others', that carry a whole share.
+constexpr double EnoughCapacity = 0.6;
+
+std::string harmOf(const std::string &Route,
+                   const std::vector<SpanCounts> &Spans, double Limit) {
+  const HarmLimits Limits;
+  const HarmEvidence Errors = errorEvidence(Spans, Limits, PlannedSpans);
+  if (Errors.logHarm() > Limit)
+    return absl::StrFormat("route %s fails more (log evidence %.1f)", Route,
+                           Errors.logHarm());
+  const HarmEvidence Latency = latencyEvidence(Spans, Limits, PlannedSpans);
+  if (Latency.logHarm() > Limit)
+    return absl::StrFormat("route %s is slower (log evidence %.1f)", Route,
+                           Latency.logHarm());
+  double Calls = 0;
+  double Failures = 0;
+  double OldCalls = 0;
+  double OldFailures = 0;
+  for (const SpanCounts &Span : Spans) {
+    Calls += Span.New.Calls;
+    Failures += Span.New.Errors;
+    OldCalls += Span.Old.Calls;
+    OldFailures += Span.Old.Errors;
+  }
+  const bool OldFailsToo =
+      OldCalls > 0 && OldFailures / OldCalls > CertainRate / 2;
+  if (Failures >= CertainFailures && Failures / Calls > CertainRate &&
+      !OldFailsToo)
+    return absl::StrFormat("route %s failed %.0f of %.0f calls", Route,
+                           Failures, Calls);
+  return {};
+}
+
+} // namespace internal
+
+RolloutDecision
+decideRollout(const ExposureLimits &Limits, const RolloutSituation &Situation,
+              const std::map<std::string, std::vector<SpanCounts>> &ByRoute) {
+  RolloutDecision Result;
+  // Two criteria for each route are looked at.
+  const double Limit =
+      std::log(2.0 * static_cast<double>(std::max<std::size_t>(
+                         ByRoute.size(), 1)) /
+               internal::FalseAlarmRate);
+  for (const auto &[Route, Spans] : ByRoute) {
+    Result.Reason = internal::harmOf(Route, Spans, Limit);
+    if (!Result.Reason.empty()) {
+      Result.Action = RolloutDecision::Kind::RollBack;
+      return Result;
+    }
+  }
+  const double Progress =
+      Situation.Duration.count() == 0
+          ? 0
+          : static_cast<double>(Situation.Elapsed.count()) /
+                static_cast<double>(Situation.Duration.count());
+  const bool CanCarryAll =
+      static_cast<double>(Situation.TargetSlots) >=
+      internal::EnoughCapacity * static_cast<double>(Situation.OtherSlots);
+  if (Situation.SharePermille >= 1000) {
+    if (Progress >= internal::CompleteFrom &&
+        Situation.AtShare >= internal::SettleTime && CanCarryAll)
+      Result.Action = RolloutDecision::Kind::Complete;
+    return Result;
+  }
+  if (Situation.TargetSlots == 0)
+    return Result;
+  std::uint32_t Wanted = Situation.SharePermille;
+  for (const internal::Step &Each : internal::Steps)
+    if (Progress >= Each.From && Each.SharePermille > Wanted) {
+      // One step at a time.
+      Wanted = Each.SharePermille;
+      break;
+    }
+  const auto MaxUnproven = static_cast<std::uint32_t>(Limits.Share * 1000);
+  if (Wanted > MaxUnproven && !CanCarryAll)
+    return Result;
+  if (Situation.SharePermille > 0 && Situation.AtShare < internal::LookTime)
+    return Result;
+  if (Wanted > Situation.SharePermille) {
+    Result.Action = RolloutDecision::Kind::SetShare;
+    Result.SharePermille = Wanted;
+  }
+  return Result;
+}
+
+} // namespace persimmonquay
--- /dev/null
+++ b/persimmonquay/traffic/placement.cc
@@ -0,0 +1,108 @@
+#include "persimmonquay/traffic/placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace persimmonquay {
+namespace internal {
+
+/// Time that a failed call costs its caller in the comparison of upstreams:
+/// about one latency objective, after which a repeat is worth little.
+constexpr std::chrono::microseconds FailureCost{1000000};
+
+/// Weight of one result in the failure rate; about the last ten calls count.
+constexpr double FailureWeight = 0.1;
+
+/// Time after which an upstream that failed is given a chance to show that it
+/// has recovered: the failure rate that is remembered halves.
+constexpr std::chrono::duration<double> FailureHalfLife{2.0};
+
+/// Age at which a load report says nothing any more.
+constexpr Millis MaxReportAge{1000};
+
+/// Range over which equal upstreams are shuffled, as part of the work.
+constexpr double TiebreakPart = 0.1;
+
+} // namespace internal
+
+void UpstreamView::noteLoad(std::uint32_t Running, std::uint32_t,
+                            std::uint32_t SlotCount,
+                            std::chrono::microseconds Wait, MonoTime Now) {
+  this->ReportedRunning = Running;
+  this->Slots = std::max<std::uint32_t>(SlotCount, 1);
+  this->ReportedWait = Wait;
+  this->ReportedAt = Now;
+  this->InFlightAtReport = this->InFlight;
+}
+
+void UpstreamView::noteResult(bool Failed, std::chrono::microseconds WorkTime,
+                              MonoTime Now) {
+  const double Known = this->failureRate(Now);
+  this->FailureRate = Known + internal::FailureWeight *
+                                  ((Failed ? 1.0 : 0.0) - Known);
+  this->FailedAt = Now;
+  if (!Failed)
+    this->Work.add(WorkTime);
+}
+
+double UpstreamView::failureRate(MonoTime Now) const {
+  const std::chrono::duration<double> Age = Now - this->FailedAt;
+  const double Own =
+      this->FailureRate * std::exp2(-Age / internal::FailureHalfLife);
+  return std::max(Own, this->SharedFailureRate);
+}
+
+std::chrono::microseconds UpstreamView::expectedWait(MonoTime Now) const {
+  if (Now - this->ReportedAt > internal::MaxReportAge)
+    return this->Work.mean() * (this->InFlight / this->Slots);
+  const auto Age =
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          Now - this->ReportedAt);
+  const std::chrono::microseconds Drained =
+      std::max(this->ReportedWait - Age, std::chrono::microseconds{0});
+  // Calls that this node sent since the report aren't in it.
+  const std::uint32_t Unreported =
+      this->InFlight > this->InFlightAtReport
+          ? this->InFlight - this->InFlightAtReport
+          : 0;
+  const std::uint32_t Busy = this->ReportedRunning + Unreported;
+  if (this->ReportedWait.count() == 0 && Busy < this->Slots)
+    return std::chrono::microseconds{0};
+  return Drained + this->Work.mean() * Unreported / this->Slots;
+}
+
+std::chrono::microseconds UpstreamView::expectedCost(MonoTime Now) const {
+  const double Load =
+      static_cast<double>(std::max(this->ReportedRunning, this->InFlight)) /
+      this->Slots;
+  const auto Failures = std::chrono::duration_cast<std::chrono::microseconds>(
+      internal::FailureCost * this->failureRate(Now));
+  // A nearly full upstream is a worse bet than its report says, since other
+  // nodes read the same report.
+  const auto Crowding = std::chrono::duration_cast<std::chrono::microseconds>(
+      this->Work.mean() * (0.5 * Load * Load));
+  return this->expectedWait(Now) + this->Work.mean() + Crowding + Failures;
+}
+
+std::vector<Candidate>
+rankUpstreams(const std::vector<const UpstreamView *> &Views,
+              const std::vector<double> &Tiebreak, MonoTime Now) {
+  std::vector<Candidate> Result;
+  Result.reserve(Views.size());
+  for (std::size_t I = 0; I < Views.size(); ++I) {
+    const std::chrono::microseconds Cost = Views[I]->expectedCost(Now);
+    const auto Shuffle = std::chrono::duration_cast<std::chrono::microseconds>(
+        Cost * (internal::TiebreakPart * Tiebreak[I]));
+    Result.push_back({I, Views[I]->isLocal(), Views[I]->expectedWait(Now),
+                      Cost + Shuffle});
+  }
+  std::sort(Result.begin(), Result.end(),
+            [](const Candidate &Left, const Candidate &Right) {
+              if (Left.Local != Right.Local)
+                return Left.Local;
+              return Left.Cost < Right.Cost;
+            });
+  return Result;
+}
+
+} // namespace persimmonquay
--- /dev/null
+++ b/persimmonquay/traffic/placement.h
@@ -0,0 +1,87 @@
+// Chooses the upstreams to which a call is offered, and in which order.
+//
+// Load patterns answered: upstreams of unequal speed and load (shortest
+// expected time, not round robin), upstreams that fail part of their calls
+// while they look healthy (failures count as time), a data centre whose own
+// upstreams are full (calls cross only when they would otherwise miss their
+// latency objective, and not to data centres that have just said they are full
+// too), and upstreams that were just added or can't be reached.
+#ifndef PERSIMMONQUAY_TRAFFIC_PLACEMENT_H
+#define PERSIMMONQUAY_TRAFFIC_PLACEMENT_H
+
+#include "persimmonquay/base/time.h"
+#include "persimmonquay/traffic/work_estimate.h"
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace persimmonquay {
+
+/// What one node knows of one upstream. Updated by every reply.
+class UpstreamView {
+public:
+  UpstreamView(bool IsLocal, std::uint32_t SlotCount)
+      : Local(IsLocal), Slots(SlotCount == 0 ? 1 : SlotCount) {}
+
+  // Commands.
+
+  /// Records a call that was sent and is not answered yet.
+  void noteSent() { ++this->InFlight; }
+  /// Records that a sent call has ended, in whatever way.
+  void noteEnded() { this->InFlight -= this->InFlight > 0 ? 1 : 0; }
+  /// Records the load that a reply reported.
+  void noteLoad(std::uint32_t Running, std::uint32_t Waiting,
+                std::uint32_t SlotCount, std::chrono::microseconds Wait,
+                MonoTime Now);
+  /// Records an answer's result; `Work` is the time at the upstream.
+  void noteResult(bool Failed, std::chrono::microseconds Work, MonoTime Now);
+  /// Records the part of all nodes' calls that failed there.
+  void noteSharedFailures(double Rate) { this->SharedFailureRate = Rate; }
+
+  // Queries.
+
+  bool isLocal() const { return this->Local; }
+  std::uint32_t inFlight() const { return this->InFlight; }
+
+  /// Returns the wait that a call would have there, as far as is known.
+  std::chrono::microseconds expectedWait(MonoTime Now) const;
+
+  /// Returns the expected time to a good answer, by which upstreams are
+  /// compared; failures make it longer.
+  std::chrono::microseconds expectedCost(MonoTime Now) const;
+
+  double failureRate(MonoTime Now) const;
+
+private:
+  bool Local;
+  std::uint32_t Slots;
+  std::uint32_t InFlight = 0;
+  std::uint32_t ReportedRunning = 0;
+  std::uint32_t InFlightAtReport = 0;
+  std::chrono::microseconds ReportedWait{0};
+  MonoTime ReportedAt;
+  WorkEstimate Work{std::chrono::milliseconds(100)};
+  double FailureRate = 0;
+  double SharedFailureRate = 0;
+  MonoTime FailedAt;
+};
+
+/// An upstream as a candidate for one call.
+struct Candidate {
+  std::size_t Index = 0;
+  bool Local = true;
+  std::chrono::microseconds Wait{0};
+  std::chrono::microseconds Cost{0};
+};
+
+/// Returns the views' indices as candidates, best first: those of the own data
+/// centre, then the others. `Tiebreak` (0 to 1 for each view) orders equals
+/// differently on every call, so that nodes don't choose alike.
+std::vector<Candidate> rankUpstreams(const std::vector<const UpstreamView *> &,
+                                     const std::vector<double> &Tiebreak,
+                                     MonoTime Now);
+
+} // namespace persimmonquay
+
+#endif // PERSIMMONQUAY_TRAFFIC_PLACEMENT_H
--- /dev/null
+++ b/persimmonquay/traffic/repeat_budget.cc
@@ -0,0 +1,54 @@
+#include "persimmonquay/traffic/repeat_budget.h"
+
+#include <algorithm>
+
+namespace persimmonquay {
+namespace internal {
+
+/// Parts into which a window is cut; a repeat is counted for at most one part
+/// longer than the window.
+constexpr int SlicesInWindow = 20;
+
+/// Part of the bound that is used. The rest covers calls that an upstream makes
+/// while it runs a repeat: at most two for each, seven times in ten, on the
+/// users' workloads, which are repeats at the services called.
+constexpr double UsedPart = 0.7;
+
+} // namespace internal
+
+void RepeatBudget::noteCall(MonoTime Now) { ++this->currentSlice(Now).Calls; }
+
+double RepeatBudget::left(std::size_t Nodes, MonoTime Now) {
+  this->forgetBefore(Now - this->Limits.Window -
+                     this->Limits.Window / internal::SlicesInWindow);
+  double Calls = 0;
+  double Repeats = 0;
+  for (const Slice &Each : this->Slices) {
+    Calls += Each.Calls;
+    Repeats += Each.Repeats;
+  }
+  const double Share =
+      this->Limits.Extra / static_cast<double>(std::max<std::size_t>(Nodes, 1));
+  return internal::UsedPart * (this->Limits.Ratio * Calls + Share) - Repeats;
+}
+
+bool RepeatBudget::spend(std::size_t Nodes, MonoTime Now) {
+  if (this->left(Nodes, Now) < 1)
+    return false;
+  ++this->currentSlice(Now).Repeats;
+  return true;
+}
+
+RepeatBudget::Slice &RepeatBudget::currentSlice(MonoTime Now) {
+  const Millis Length = this->Limits.Window / internal::SlicesInWindow;
+  if (this->Slices.empty() || Now - this->Slices.back().Start >= Length)
+    this->Slices.push_back({Now, 0, 0});
+  return this->Slices.back();
+}
+
+void RepeatBudget::forgetBefore(MonoTime Oldest) {
+  while (!this->Slices.empty() && this->Slices.front().Start < Oldest)
+    this->Slices.pop_front();
+}
+
+} // namespace persimmonquay
