--- a/persimmonquay/base/checked_json.cc
+++ b/persimmonquay/base/checked_json.cc
@@ -91,6 +91,10 @@
                             std::numeric_limits<std::uint32_t>::max(),
                     Key, absl::StrCat("must be a whole number", unitOf(Key)));
       return;
+    case FieldDescriptor::CPPTYPE_DOUBLE:
+      this->require(Item.is_number(), Key,
+                    absl::StrCat("must be a number", unitOf(Key)));
+      return;
     default:
       this->require(Item.is_number_integer(), Key,
                     absl::StrCat("must be a whole number", unitOf(Key)));
