--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -123,14 +123,14 @@
   return std::nullopt;
 }
 
-std::chrono::microseconds
+WorkEstimate
 UpstreamGate::expectedWork(const proto::CallRequest &Request) const {
   const auto Known = this->Work.find(Request.route());
   if (Known != this->Work.end())
-    return Known->second.mean();
-  return std::max<std::chrono::microseconds>(
+    return Known->second;
+  return WorkEstimate(std::max<std::chrono::microseconds>(
       Millis(Request.objective_ms()) / internal::AssumedWorkDivisor,
-      Millis(1));
+      Millis(1)));
 }
 
 std::uint64_t UpstreamGate::submit(proto::CallRequest Request,
@@ -150,12 +150,14 @@
     return Ticket;
   }
   const proto::CallRequest &Asked = Offered->Request;
+  const WorkEstimate Expected = this->expectedWork(Asked);
   const QueuedCall Queued{Ticket,
                           Asked.nested(),
                           Asked.priority(),
                           Now + Millis(Asked.objective_ms()),
                           Offered->Deadline,
-                          this->expectedWork(Asked)};
+                          Expected.mean(),
+                          Expected.likely()};
   const Admission Result =
       this->Queue.offer(Queued, Millis(Asked.max_wait_ms()), Now);
   this->rejectAll(Result.Displaced);
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -74,7 +74,7 @@
   struct Exchange;
 
   std::optional<std::string> whyUnavailable(const proto::CallRequest &) const;
-  std::chrono::microseconds expectedWork(const proto::CallRequest &) const;
+  WorkEstimate expectedWork(const proto::CallRequest &) const;
   void start(std::uint64_t Ticket);
   void startWaiting();
   void reject(const RejectedCall &Rejected);
--- a/persimmonquay/rollout/rollout_policy.cc
+++ b/persimmonquay/rollout/rollout_policy.cc
@@ -32,7 +32,10 @@
 constexpr double FalseAlarmRate = 0.001;
 
 /// Spans over which harm may begin; only weighs the start of harm.
-constexpr double PlannedSpans = 30;
+constexpr double PlannedSpans = 10;
+
+/// Routes that are looked at beyond their sum; services have a few in use.
+constexpr double LookedAt = 5;
 
 /// Failures after which a version is judged by its own rate alone, and the rate
 /// that is then bad whatever the other versions do.
@@ -42,9 +45,99 @@
 /// Slots of the target, as a part of the others', that carry a whole share.
 constexpr double EnoughCapacity = 0.6;
 
+/// A call is slow when it takes longer than nearly all of the old version's:
+/// a version that slows down only part of its calls so stands out clearly.
+constexpr double SlowQuantile = 0.98;
+constexpr double ToleratedSlow = 0.05;
+
+/// Calls that a version must have had, without more bad ones than the old
+/// version's rate and this margin explain, before it gets more than the share
+/// that may be exposed.
+constexpr double ProofCalls = 30;
+constexpr double BadMargin = 0.08;
+
+/// Part of the duration from which a version that is not shown to be sound is
+/// taken back: later it could not be completed in time.
+constexpr double GiveUpFrom = 0.93;
+
+/// All routes taken together, beside each of them.
+std::vector<SpanCounts>
+sumOfRoutes(const std::map<std::string, std::vector<SpanCounts>> &ByRoute) {
+  std::map<std::int64_t, SpanCounts> Sum;
+  for (const auto &[Route, Spans] : ByRoute)
+    for (const SpanCounts &Span : Spans) {
+      SpanCounts &Target = Sum[Span.Span];
+      Target.Span = Span.Span;
+      Target.Old.Calls += Span.Old.Calls;
+      Target.Old.Errors += Span.Old.Errors;
+      Target.New.Calls += Span.New.Calls;
+      Target.New.Errors += Span.New.Errors;
+      for (std::size_t I = 0; I < LatencyBuckets; ++I) {
+        Target.Old.Latency[I] += Span.Old.Latency[I];
+        Target.New.Latency[I] += Span.New.Latency[I];
+      }
+    }
+  std::vector<SpanCounts> Result;
+  for (const auto &[Number, Span] : Sum)
+    Result.push_back(Span);
+  return Result;
+}
+
+/// Calls of one version and those among them that failed or were slow.
+struct Health {
+  double Calls = 0;
+  double Bad = 0;
+
+  double rate() const {
+    return this->Calls == 0 ? 0 : this->Bad / this->Calls;
+  }
+};
+
+Health healthOf(const VersionCounts &Counts, std::size_t FirstSlow) {
+  Health Result{Counts.Calls, Counts.Errors};
+  for (std::size_t I = FirstSlow; I < LatencyBuckets; ++I)
+    Result.Bad += Counts.Latency[I];
+  return Result;
+}
+
+/// Whether the target had calls enough and, on each route with some of them,
+/// no clearly higher rate of bad ones than the others.
+enum class Soundness { Unknown, Sound, Doubtful };
+Soundness
+soundness(const std::map<std::string, std::vector<SpanCounts>> &ByRoute) {
+  double Proofs = 0;
+  for (const auto &[Route, Spans] : ByRoute) {
+    VersionCounts Old;
+    VersionCounts New;
+    for (const SpanCounts &Span : Spans) {
+      Old.Calls += Span.Old.Calls;
+      Old.Errors += Span.Old.Errors;
+      New.Calls += Span.New.Calls;
+      New.Errors += Span.New.Errors;
+      for (std::size_t I = 0; I < LatencyBuckets; ++I) {
+        Old.Latency[I] += Span.Old.Latency[I];
+        New.Latency[I] += Span.New.Latency[I];
+      }
+    }
+    const std::size_t FirstSlow =
+        quantileBucket(Old.Latency, SlowQuantile) + 1;
+    const Health OldHealth = healthOf(Old, FirstSlow);
+    const Health NewHealth = healthOf(New, FirstSlow);
+    Proofs += NewHealth.Calls;
+    // Two standard deviations of the count that the tolerated rate explains.
+    const double Tolerated =
+        NewHealth.Calls * (1.5 * OldHealth.rate() + BadMargin);
+    if (NewHealth.Bad > Tolerated + 2 * std::sqrt(Tolerated))
+      return Soundness::Doubtful;
+  }
+  return Proofs >= ProofCalls ? Soundness::Sound : Soundness::Unknown;
+}
+
 std::string harmOf(const std::string &Route,
                    const std::vector<SpanCounts> &Spans, double Limit) {
-  const HarmLimits Limits;
+  HarmLimits Limits;
+  Limits.SlowQuantile = SlowQuantile;
+  Limits.ToleratedSlow = ToleratedSlow;
   const HarmEvidence Errors = errorEvidence(Spans, Limits, PlannedSpans);
   if (Errors.logHarm() > Limit)
     return absl::StrFormat("route %s fails more (log evidence %.1f)", Route,
@@ -80,10 +173,10 @@
   RolloutDecision Result;
   // Two criteria for each route are looked at.
   const double Limit =
-      std::log(2.0 * static_cast<double>(std::max<std::size_t>(
-                         ByRoute.size(), 1)) /
-               internal::FalseAlarmRate);
-  for (const auto &[Route, Spans] : ByRoute) {
+      std::log(2.0 * internal::LookedAt / internal::FalseAlarmRate);
+  std::map<std::string, std::vector<SpanCounts>> All = ByRoute;
+  All["(all)"] = internal::sumOfRoutes(ByRoute);
+  for (const auto &[Route, Spans] : All) {
     Result.Reason = internal::harmOf(Route, Spans, Limit);
     if (!Result.Reason.empty()) {
       Result.Action = RolloutDecision::Kind::RollBack;
@@ -114,8 +207,17 @@
       break;
     }
   const auto MaxUnproven = static_cast<std::uint32_t>(Limits.Share * 1000);
-  if (Wanted > MaxUnproven && !CanCarryAll)
-    return Result;
+  if (Wanted > MaxUnproven) {
+    const internal::Soundness Sound = internal::soundness(All);
+    if (Sound != internal::Soundness::Sound &&
+        Progress >= internal::GiveUpFrom) {
+      Result.Action = RolloutDecision::Kind::RollBack;
+      Result.Reason = "not shown to be sound in time";
+      return Result;
+    }
+    if (Sound != internal::Soundness::Sound || !CanCarryAll)
+      return Result;
+  }
   if (Situation.SharePermille > 0 && Situation.AtShare < internal::LookTime)
     return Result;
   if (Wanted > Situation.SharePermille) {
--- a/persimmonquay/traffic/admission_queue.cc
+++ b/persimmonquay/traffic/admission_queue.cc
@@ -24,7 +24,7 @@
 /// again: when it turns late, or, if it is late already, when it should have
 /// started.
 MonoTime nextCheck(const QueuedCall &Call, Micros Wait, MonoTime Now) {
-  const MonoTime TurnsLate = Call.Objective - Call.Work;
+  const MonoTime TurnsLate = Call.Objective - Call.LikelyWork;
   if (TurnsLate > Now)
     return TurnsLate;
   return Now + std::max(Wait, MinCheckInterval);
@@ -38,8 +38,8 @@
     return Left.Call.Nested;
   if (Left.Call.Priority != Right.Call.Priority)
     return Left.Call.Priority < Right.Call.Priority;
-  const bool LeftLate = Now + Left.Call.Work > Left.Call.Objective;
-  const bool RightLate = Now + Right.Call.Work > Right.Call.Objective;
+  const bool LeftLate = Now + Left.Call.LikelyWork > Left.Call.Objective;
+  const bool RightLate = Now + Right.Call.LikelyWork > Right.Call.Objective;
   if (LeftLate != RightLate)
     return RightLate;
   if (Left.Call.Objective != Right.Call.Objective)
@@ -110,10 +110,9 @@
 std::optional<std::string_view>
 AdmissionQueue::whyHopeless(const QueuedCall &Call, Micros Wait,
                             MonoTime Now) const {
-  const MonoTime End = Now + Wait + Call.Work;
-  if (End > Call.Deadline)
+  if (Now + Wait + Call.Work > Call.Deadline)
     return "the wait would outlast the deadline";
-  if (End <= Call.Objective || Wait == Micros{0})
+  if (Now + Wait + Call.LikelyWork <= Call.Objective || Wait == Micros{0})
     return std::nullopt;
   // Late in any case: worth a short wait only.
   const Micros Allowed =
@@ -130,7 +129,8 @@
   // A call that returns after this time finds a queue that has drained far
   // enough for it to end on time, if nobody else arrives.
   const Micros Fits =
-      std::chrono::duration_cast<Micros>(Call.Objective - Now) - Call.Work;
+      std::chrono::duration_cast<Micros>(Call.Objective - Now) -
+      Call.LikelyWork;
   return std::max(internal::MinRetryAfter,
                   Wait - std::max(Fits / 2, Micros{0}));
 }
--- a/persimmonquay/traffic/admission_queue.h
+++ b/persimmonquay/traffic/admission_queue.h
@@ -33,6 +33,9 @@
   MonoTime Deadline;
   /// Expected time at the upstream.
   Micros Work{0};
+  /// Time by which the upstream has ended most calls of this kind; whether a
+  /// call will be on time is judged by this.
+  Micros LikelyWork{0};
 };
 
 /// A call that will not run.
--- a/persimmonquay/traffic/work_estimate.h
+++ b/persimmonquay/traffic/work_estimate.h
@@ -8,7 +8,7 @@
 
 namespace persimmonquay {
 
-/// Exponentially weighted mean of measured times. The first few measurements
+/// Exponentially weighted mean and mean deviation of measured times. The first few measurements
 /// weigh more, so that a new estimate is soon near the truth.
 class WorkEstimate {
 public:
@@ -16,10 +16,17 @@
 
   void add(std::chrono::microseconds Measured) {
     this->Count = std::min(this->Count + 1, Memory);
+    const std::chrono::microseconds Distance =
+        Measured > this->Mean ? Measured - this->Mean : this->Mean - Measured;
     this->Mean += (Measured - this->Mean) / this->Count;
+    this->Deviation += (Distance - this->Deviation) / this->Count;
   }
 
   std::chrono::microseconds mean() const { return this->Mean; }
+  /// Returns a time within which most calls have ended.
+  std::chrono::microseconds likely() const {
+    return this->Mean + this->Deviation;
+  }
   bool isMeasured() const { return this->Count > 0; }
 
 private:
@@ -28,6 +35,7 @@
   static constexpr std::int64_t Memory = 20;
 
   std::chrono::microseconds Mean;
+  std::chrono::microseconds Deviation{0};
   std::int64_t Count = 0;
 };
 
