Count the objective from the first attempt only beyond the spread of patience

Cause: callers of one route differ in patience by 15%; a fresh call with little patience was taken for one that returns, up to 225 ms late.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -53,7 +53,10 @@
 /// ignore what is beyond a third.
 constexpr int RetryPartOfPatience = 3;
 
-/// Nested calls are recognised by the caller's patience: see CallRouter::admit.
+/// Callers of one route differ in patience; what is below this part of the
+/// longest patience seen is taken for time that has passed already.
+constexpr double LeastPatience = 0.85;
+
 constexpr unsigned StatusBadGateway = 502;
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusGatewayTimeout = 504;
@@ -251,7 +254,10 @@
   // its latency objective counts from its first attempt.
   Millis &Full = this->FullPatience[Asked.Route->name()];
   Full = std::max(Full, Asked.Patience);
-  const Millis Elapsed = Full - Asked.Patience;
+  const Millis Elapsed = std::max(
+      std::chrono::duration_cast<Millis>(Full * internal::LeastPatience) -
+          Asked.Patience,
+      Millis{0});
   Asked.Objective =
       Now + Millis(Asked.Route->latency_objective_ms()) - Elapsed;
   const auto Known = this->RouteWork.find(Asked.Route->name());
