--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -57,6 +57,11 @@
 /// longest patience seen is taken for time that has passed already.
 constexpr double LeastPatience = 0.85;
 
+/// Intervals of probes on links without calls, within a data centre and to
+/// others, where bytes are dear and calls are few.
+constexpr Millis NearProbeInterval{2000};
+constexpr Millis FarProbeInterval{8000};
+
 constexpr unsigned StatusBadGateway = 502;
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusGatewayTimeout = 504;
@@ -206,12 +211,41 @@
         continue;
       }
       Next->Link =
-          std::make_shared<PeerLink>(this->Parts.Context, Entry->node(),
-                                     Address, this->OnConfiguration);
+          std::make_shared<PeerLink>(
+              this->Parts.Context, Entry->node(), Address,
+              Entry->data_centre() == this->Parts.DataCentre
+                  ? internal::NearProbeInterval
+                  : internal::FarProbeInterval,
+              this->OnConfiguration);
       Next->Link->start();
     }
     this->Targets[Entry->node()] = std::move(Next);
   }
+  this->updateBaseVersions();
+}
+
+void CallRouter::updateBaseVersions() {
+  struct Oldest {
+    std::string Version;
+    std::uint64_t Started = UINT64_MAX;
+    bool BaseLives = false;
+  };
+  std::map<std::string, Oldest> ByService;
+  for (const auto &[Node, To] : this->Targets) {
+    if (!To->Entry.has_upstream() || To->Entry.leaving())
+      continue;
+    const proto::UpstreamEntry &Upstream = To->Entry.upstream();
+    Oldest &Known = ByService[Upstream.service()];
+    Known.BaseLives |= Upstream.version() ==
+                       this->stateOf(Upstream.service()).BaseVersion;
+    if (Upstream.started_unix_ms() < Known.Started) {
+      Known.Started = Upstream.started_unix_ms();
+      Known.Version = Upstream.version();
+    }
+  }
+  for (const auto &[Service, Known] : ByService)
+    if (!Known.BaseLives)
+      this->stateOf(Service).BaseVersion = Known.Version;
 }
 
 asio::awaitable<HttpResponse>
@@ -281,12 +315,17 @@
 
 std::vector<std::shared_ptr<CallRouter::Target>> CallRouter::candidates(Call &Asked) {
   std::vector<std::shared_ptr<Target>> Result;
+  // Without a word about its version an upstream takes calls only if the
+  // others of its service have the same: the order to bring a new version in
+  // may not have arrived yet.
+  const std::string &Base = this->stateOf(Asked.Service).BaseVersion;
   for (const auto &[Node, To] : this->Targets) {
     const proto::UpstreamEntry &Upstream = To->Entry.upstream();
     if (!To->Entry.has_upstream() || Upstream.service() != Asked.Service ||
         Upstream.draining() || To->Entry.leaving() ||
         Asked.Excluded.contains(Node) ||
         !Asked.Versions.allows(Upstream.version()) ||
+        (!Asked.Versions.Only && Upstream.version() != Base) ||
         (To->Link && !To->Link->isUp()))
       continue;
     Result.push_back(To);
--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -95,6 +95,7 @@
                       const std::string &Reason, Millis RetryAfter);
   HttpResponse finalFailure(Call &Asked);
   ServiceState &stateOf(const std::string &Service);
+  void updateBaseVersions();
   double random();
 
   EgressParts Parts;
--- a/persimmonquay/daemon/gossip.cc
+++ b/persimmonquay/daemon/gossip.cc
@@ -5,6 +5,7 @@
 #include "persimmonquay/fleet/directory.h"
 #include "persimmonquay/rollout/rollout_book.h"
 #include <boost/asio/buffer.hpp>
+#include <set>
 #include <utility>
 
 namespace persimmonquay {
@@ -62,6 +63,13 @@
 
 void Gossip::announce() { this->sendToAll(this->message()); }
 
+void Gossip::announceConfiguration() {
+  const proto::GossipMessage Message = this->message();
+  for (const proto::NodeEntry *Entry : this->Nodes.others())
+    if (Entry->data_centre() == this->Nodes.own().data_centre())
+      this->send(Message, *Entry);
+}
+
 void Gossip::greet(const proto::NodeEntry &Node) {
   proto::GossipMessage Message = this->message();
   Message.set_directory_hash(this->Nodes.hash());
@@ -128,21 +136,54 @@
   if (Message.configuration_version() > this->ConfigurationVersion)
     this->On.OnConfigurationVersion(Message.sender().node(),
                                     Message.configuration_version());
-  const bool Differs =
-      Message.directory_hash() != 0 &&
-      (Message.directory_hash() != this->Nodes.hash() ||
-       Message.configuration_version() < this->ConfigurationVersion);
-  if (Message.wants_difference() && Differs)
-    this->sendEverything(Message.sender());
+  if (Message.known_entries_size() > 0)
+    this->answerSummary(Message);
+  if (Message.wanted_entries_size() > 0) {
+    const std::set<std::uint64_t> Wanted(Message.wanted_entries().begin(),
+                                         Message.wanted_entries().end());
+    std::vector<const proto::NodeEntry *> Found;
+    for (const proto::NodeEntry *Entry : this->Nodes.entries())
+      if (Wanted.contains(Directory::entryHash(*Entry)))
+        Found.push_back(Entry);
+    this->sendEntries(Message.sender(), Found);
+  }
+  if (!Message.wants_difference())
+    return;
+  if (Message.directory_hash() != this->Nodes.hash())
+    this->sendSummary(Message.sender());
+  else if (Message.configuration_version() < this->ConfigurationVersion)
+    this->send(this->message(), Message.sender());
 }
 
-void Gossip::sendEverything(const proto::NodeEntry &To) {
+void Gossip::sendSummary(const proto::NodeEntry &To) {
   proto::GossipMessage Message = this->message();
   for (const proto::RolloutProgress *Progress : this->Rollouts.all())
     *Message.add_rollouts() = *Progress;
-  for (const proto::NodeEntry *Entry : this->Nodes.entries()) {
-    if (Entry->node() == this->Nodes.own().node())
-      continue;
+  for (const proto::NodeEntry *Entry : this->Nodes.entries())
+    Message.add_known_entries(Directory::entryHash(*Entry));
+  this->send(Message, To);
+}
+
+void Gossip::answerSummary(const proto::GossipMessage &Summary) {
+  std::set<std::uint64_t> Theirs(Summary.known_entries().begin(),
+                                 Summary.known_entries().end());
+  std::vector<const proto::NodeEntry *> Unknown;
+  for (const proto::NodeEntry *Entry : this->Nodes.entries())
+    if (Theirs.erase(Directory::entryHash(*Entry)) == 0)
+      Unknown.push_back(Entry);
+  this->sendEntries(Summary.sender(), Unknown);
+  if (Theirs.empty())
+    return;
+  proto::GossipMessage Question = this->message();
+  for (const std::uint64_t Hash : Theirs)
+    Question.add_wanted_entries(Hash);
+  this->send(Question, Summary.sender());
+}
+
+void Gossip::sendEntries(const proto::NodeEntry &To,
+                         const std::vector<const proto::NodeEntry *> &Entries) {
+  proto::GossipMessage Message = this->message();
+  for (const proto::NodeEntry *Entry : Entries) {
     if (Message.ByteSizeLong() + Entry->ByteSizeLong() >
         internal::MaxDatagramBytes) {
       this->send(Message, To);
@@ -150,9 +191,8 @@
     }
     *Message.add_entries() = *Entry;
   }
-  // The receiver in turn sends back what is unknown here.
-  Message.set_directory_hash(this->Nodes.hash());
-  this->send(Message, To);
+  if (Message.entries_size() > 0)
+    this->send(Message, To);
 }
 
 asio::awaitable<void> Gossip::compareLoop() {
--- a/persimmonquay/daemon/gossip.h
+++ b/persimmonquay/daemon/gossip.h
@@ -18,7 +18,9 @@
 
 /// Spreads entries of nodes and the progress of rollouts. What changes is sent
 /// at once to every node known; what gets lost is found by comparing hashes
-/// with a random node each second. Lives on one thread.
+/// with a random node each second: two nodes that differ exchange the hashes
+/// of their entries, and then only the entries that one of them lacks. Lives
+/// on one thread.
 class Gossip {
 public:
   struct Events {
@@ -53,6 +55,9 @@
   void sendTallies(const std::string &Driver,
                    const std::vector<proto::RolloutTally> &Tallies);
 
+  /// Tells the nodes of the own data centre which configuration is held here.
+  void announceConfiguration();
+
   /// Sets the version that is told with every message.
   void setConfigurationVersion(std::uint64_t Version) {
     this->ConfigurationVersion = Version;
@@ -62,7 +67,10 @@
   asio::awaitable<void> receiveLoop();
   asio::awaitable<void> compareLoop();
   void handle(const proto::GossipMessage &Message);
-  void sendEverything(const proto::NodeEntry &To);
+  void sendSummary(const proto::NodeEntry &To);
+  void answerSummary(const proto::GossipMessage &Summary);
+  void sendEntries(const proto::NodeEntry &To,
+                   const std::vector<const proto::NodeEntry *> &Entries);
   proto::GossipMessage message() const;
   void send(const proto::GossipMessage &Message, const proto::NodeEntry &To);
   void sendToAll(const proto::GossipMessage &Message);
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -1,5 +1,6 @@
 #include "persimmonquay/daemon/mesh_node.h"
 
+#include "persimmonquay/base/hashing.h"
 #include "persimmonquay/base/logging.h"
 #include "persimmonquay/daemon/link_server.h"
 #include "persimmonquay/daemon/peer_link.h"
@@ -32,6 +33,18 @@
 
 constexpr Millis ShutdownCheckInterval{50};
 
+/// Nodes of a data centre that read what operators write; a second one, so
+/// that the loss of one delays nothing.
+constexpr std::size_t Followers = 2;
+constexpr char FollowDuty[] = "follow";
+
+/// Time for which a configuration is awaited from the own data centre before
+/// it is fetched from another one.
+constexpr Millis NearSourcesFirst{800};
+
+/// Time after which an unanswered question for a configuration is repeated.
+constexpr Millis AskAgain{400};
+
 /// Longest body that is kept in memory, as a part of the process's memory; the
 /// whole body is read before the call is placed.
 constexpr double BodyPartOfMemory = 1.0 / 16;
@@ -183,6 +196,9 @@
       this->LongestIdleTimeout, Millis(Next.limits().idle_timeout_ms()));
   this->Outbound.setRoutes(std::make_shared<const RouteTable>(std::move(Next)));
   this->Messenger.setConfigurationVersion(Version);
+  this->BehindSince.reset();
+  if (this->Following)
+    this->Messenger.announceConfiguration();
   setLoggedConfigVersion(Version);
   logLine(LogLevel::Info, "configuration applied",
           {{"version", std::to_string(Version)}});
@@ -193,12 +209,51 @@
   const std::shared_ptr<const RouteTable> &Current = this->Outbound.routes();
   const std::uint64_t Have = Current ? Current->version() : 0;
   const std::shared_ptr<PeerLink> Link = this->Outbound.linkTo(Node);
-  if (Version > Have && Link)
-    Link->askForConfiguration(Have);
+  const proto::NodeEntry *Entry = this->Nodes.find(Node);
+  if (Version <= Have || !Link || Entry == nullptr)
+    return;
+  const MonoTime Now = monoNow();
+  if (!this->BehindSince)
+    this->BehindSince = Now;
+  const bool Near = Entry->data_centre() == this->Settings.data_centre();
+  if (!Near && Now - *this->BehindSince < internal::NearSourcesFirst)
+    return;
+  if (Version <= this->AskedVersion && Now - this->AskedAt < internal::AskAgain)
+    return;
+  this->AskedVersion = Version;
+  this->AskedAt = Now;
+  Link->askForConfiguration(Have);
+}
+
+bool MeshNode::shouldFollow() const {
+  if (this->Stopping)
+    return false;
+  const std::uint64_t OwnWeight =
+      rendezvousWeight(internal::FollowDuty, this->Settings.node());
+  std::size_t Better = 0;
+  for (const proto::NodeEntry *Entry : this->Nodes.others()) {
+    if (Entry->data_centre() != this->Settings.data_centre() ||
+        !Entry->follows_store() ||
+        rendezvousWeight(internal::FollowDuty, Entry->node()) < OwnWeight)
+      continue;
+    const std::shared_ptr<PeerLink> Link = this->Outbound.linkTo(Entry->node());
+    Better += Link && Link->isUp() ? 1 : 0;
+  }
+  return Better < internal::Followers;
+}
+
+void MeshNode::setFollowing(bool Follows) {
+  if (this->Following == Follows)
+    return;
+  this->Following = Follows;
+  logLine(LogLevel::Info, Follows ? "following the operator's records"
+                                  : "no longer following the operator's records");
+  this->announceOwn();
 }
 
 void MeshNode::orderRollout(const proto::RolloutOrder &Order) {
-  this->Driver.order(Order);
+  if (const proto::RolloutProgress *Known = this->Driver.order(Order))
+    this->Messenger.spread(*Known);
 }
 
 void MeshNode::learnNodes(const std::vector<proto::NodeEntry> &Entries) {
@@ -248,6 +303,7 @@
   else
     Own.clear_upstream();
   Own.set_leaving(this->Stopping);
+  Own.set_follows_store(this->Following);
   if (!this->Nodes.setOwn(std::move(Own)))
     return;
   this->Messenger.announce();
--- a/persimmonquay/daemon/mesh_node.h
+++ b/persimmonquay/daemon/mesh_node.h
@@ -66,6 +66,10 @@
   /// Takes a configuration into force unless a newer one is.
   void applyConfiguration(proto::MeshConfiguration Next);
 
+  /// Tells whether this node reads what operators write; other nodes of its
+  /// data centre rely on it while it does.
+  void setFollowing(bool Follows);
+
   void orderRollout(const proto::RolloutOrder &Order);
 
   /// Takes over what is stored about other nodes and greets them.
@@ -83,6 +87,10 @@
 
   /// Whether callers may be sent here.
   bool isReady() const;
+
+  /// Whether this node should read what operators write: unless enough other
+  /// nodes of its data centre do.
+  bool shouldFollow() const;
   const proto::NodeEntry &ownEntry() const { return this->Nodes.own(); }
   std::size_t knownNodes() const { return this->Nodes.entries().size(); }
 
@@ -115,6 +123,12 @@
   /// Longest idle time that callers may have learnt from a configuration.
   Millis LongestIdleTimeout{0};
   bool Stopping = false;
+  bool Following = false;
+  /// Newest version that was asked for, and when; when a newer one than the
+  /// own was first heard of.
+  std::uint64_t AskedVersion = 0;
+  MonoTime AskedAt;
+  std::optional<MonoTime> BehindSince;
 };
 
 } // namespace persimmonquay
--- a/persimmonquay/daemon/peer_link.cc
+++ b/persimmonquay/daemon/peer_link.cc
@@ -18,9 +18,6 @@
 /// Interval of looks at a connection with calls under way.
 constexpr Millis BusyProbeInterval{250};
 
-/// Interval of probes on a connection without calls.
-constexpr Millis QuietProbeInterval{2000};
-
 /// Silence after a probe by which a connection is given up: several
 /// retransmissions on a lossy path.
 constexpr Millis ProbeTimeout{1000};
@@ -31,9 +28,10 @@
 } // namespace internal
 
 PeerLink::PeerLink(asio::io_context &Loop, std::string NodeName,
-                   Tcp::endpoint PeerAddress, ConfigurationHandler Handler)
+                   Tcp::endpoint PeerAddress, Millis QuietProbes,
+                   ConfigurationHandler Handler)
     : Context(Loop), Node(std::move(NodeName)), Address(std::move(PeerAddress)),
-      OnConfiguration(std::move(Handler)), RetryTimer(Loop), ProbeTimer(Loop) {}
+      QuietInterval(QuietProbes), OnConfiguration(std::move(Handler)), RetryTimer(Loop), ProbeTimer(Loop) {}
 
 void PeerLink::start() {
   asio::co_spawn(
@@ -169,7 +167,7 @@
   MonoTime LastProbe = monoNow();
   while (Current == this->Channel && Current->isOpen() && !this->Stopped) {
     this->ProbeTimer.expires_after(this->Pending.empty()
-                                       ? internal::QuietProbeInterval
+                                       ? this->QuietInterval
                                        : internal::BusyProbeInterval);
     co_await this->ProbeTimer.async_wait(NoThrow);
     if (Current != this->Channel || !Current->isOpen() || this->Stopped)
@@ -183,7 +181,7 @@
       Current->close();
       break;
     }
-    const Millis Wanted = this->Pending.empty() ? internal::QuietProbeInterval
+    const Millis Wanted = this->Pending.empty() ? this->QuietInterval
                                                 : internal::BusyProbeInterval;
     // Any frame shows that the peer is there.
     if (!Answered || Now - std::max(LastProbe, Current->lastReceived()) < Wanted)
--- a/persimmonquay/daemon/peer_link.h
+++ b/persimmonquay/daemon/peer_link.h
@@ -23,8 +23,10 @@
   using ReplyHandler = std::function<void(proto::CallReply)>;
   using ConfigurationHandler = std::function<void(proto::MeshConfiguration)>;
 
+  /// `QuietProbes` is the interval of probes while no call is under way.
   PeerLink(asio::io_context &Loop, std::string NodeName,
-           Tcp::endpoint PeerAddress, ConfigurationHandler Handler);
+           Tcp::endpoint PeerAddress, Millis QuietProbes,
+           ConfigurationHandler Handler);
 
   // Commands.
 
@@ -59,6 +61,7 @@
   asio::io_context &Context;
   std::string Node;
   Tcp::endpoint Address;
+  Millis QuietInterval;
   ConfigurationHandler OnConfiguration;
   std::shared_ptr<FrameChannel> Channel;
   std::map<std::uint64_t, ReplyHandler> Pending;
--- a/persimmonquay/daemon/rollout_driver.cc
+++ b/persimmonquay/daemon/rollout_driver.cc
@@ -82,9 +82,10 @@
   this->Timer.cancel();
 }
 
-void RolloutDriver::order(const proto::RolloutOrder &Ordered) {
+const proto::RolloutProgress *
+RolloutDriver::order(const proto::RolloutOrder &Ordered) {
   if (this->Orders.contains(Ordered.number()))
-    return;
+    return nullptr;
   logLine(LogLevel::Info, "rollout ordered",
           {{"service", Ordered.service()},
            {"target_version", Ordered.target_version()},
@@ -103,6 +104,7 @@
   *Progress.mutable_order() = Ordered;
   Progress.set_state(proto::RUNNING);
   this->Rollouts.merge(Progress);
+  return this->Rollouts.find(Ordered.service(), Ordered.number());
 }
 
 void RolloutDriver::learn(const proto::RolloutProgress &Progress) {
--- a/persimmonquay/daemon/rollout_driver.h
+++ b/persimmonquay/daemon/rollout_driver.h
@@ -43,8 +43,8 @@
   void start();
   void stop();
 
-  /// Takes an order of the operator.
-  void order(const proto::RolloutOrder &Order);
+  /// Takes an order of the operator. Returns its progress if it is new.
+  const proto::RolloutProgress *order(const proto::RolloutOrder &Order);
 
   /// Takes what another node says about a rollout.
   void learn(const proto::RolloutProgress &Progress);
--- a/persimmonquay/fleet/directory.cc
+++ b/persimmonquay/fleet/directory.cc
@@ -17,10 +17,6 @@
   return {Entry.boot(), Entry.revision()};
 }
 
-std::uint64_t entryHash(const proto::NodeEntry &Entry) {
-  return hashBytes(Entry.node(), Entry.boot() * 1000003 + Entry.revision());
-}
-
 } // namespace internal
 
 Directory::Directory(std::string OwnName, std::uint64_t Boot)
@@ -95,10 +91,14 @@
   return Result;
 }
 
+std::uint64_t Directory::entryHash(const proto::NodeEntry &Entry) {
+  return hashBytes(Entry.node(), Entry.boot() * 1000003 + Entry.revision());
+}
+
 std::uint64_t Directory::hash() const {
-  std::uint64_t Sum = internal::entryHash(this->Own);
+  std::uint64_t Sum = Directory::entryHash(this->Own);
   for (const auto &[Node, Known] : this->Others)
-    Sum += internal::entryHash(Known.Entry);
+    Sum += Directory::entryHash(Known.Entry);
   return Sum;
 }
 
--- a/persimmonquay/fleet/directory.h
+++ b/persimmonquay/fleet/directory.h
@@ -62,6 +62,9 @@
   /// Returns a hash over all entries: equal on nodes that know the same.
   std::uint64_t hash() const;
 
+  /// Returns a hash of one entry's node, boot and revision.
+  static std::uint64_t entryHash(const proto::NodeEntry &Entry);
+
 private:
   struct Known {
     proto::NodeEntry Entry;
--- a/persimmonquay/traffic/repeat_budget.cc
+++ b/persimmonquay/traffic/repeat_budget.cc
@@ -9,10 +9,10 @@
 /// longer than the window.
 constexpr int SlicesInWindow = 20;
 
-/// Part of the bound that is used. The rest covers calls that an upstream makes
-/// while it runs a repeat: at most two for each, seven times in ten, on the
-/// users' workloads, which are repeats at the services called.
-constexpr double UsedPart = 0.7;
+/// Part of the bound that is used. The rest covers the calls that upstreams
+/// make while they run a repeat, which are repeats at the services called: two
+/// for each repeat double the demand.
+constexpr double UsedPart = 0.45;
 
 } // namespace internal
 
