--- a/persimmonquay/daemon/gossip.cc
+++ b/persimmonquay/daemon/gossip.cc
@@ -5,6 +5,8 @@
 #include "persimmonquay/fleet/directory.h"
 #include "persimmonquay/rollout/rollout_book.h"
 #include <boost/asio/buffer.hpp>
+#include <algorithm>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -15,7 +17,11 @@
 constexpr Millis CompareInterval{1000};
 
 /// One comparison in this many is with another data centre.
-constexpr std::uint64_t RemoteCompareEvery = 4;
+constexpr std::uint64_t RemoteCompareEvery = 8;
+
+/// Nodes of the own data centre that a node which has just started asks for
+/// what they know.
+constexpr std::size_t Greeted = 2;
 
 /// Longest datagram that no common path splits.
 constexpr std::size_t MaxDatagramBytes = 1300;
@@ -58,19 +64,27 @@
   proto::GossipMessage Result;
   *Result.mutable_sender() = this->Nodes.own();
   Result.set_configuration_version(this->ConfigurationVersion);
+  Result.set_follows_store(this->FollowsStore);
   return Result;
 }
 
-void Gossip::announce() { this->sendToAll(this->message()); }
+void Gossip::announce() { this->sendEverywhere(this->message()); }
 
-void Gossip::announceConfiguration() {
-  const proto::GossipMessage Message = this->message();
-  for (const proto::NodeEntry *Entry : this->Nodes.others())
-    if (Entry->data_centre() == this->Nodes.own().data_centre())
-      this->send(Message, *Entry);
+void Gossip::announceConfiguration() { this->sendNear(this->message()); }
+
+void Gossip::greet(const std::vector<proto::NodeEntry> &Listed) {
+  this->announce();
+  // The list may be old: what changed since is known to the nodes themselves.
+  std::vector<const proto::NodeEntry *> Near;
+  for (const proto::NodeEntry &Entry : Listed)
+    if (Entry.data_centre() == this->Nodes.own().data_centre())
+      Near.push_back(&Entry);
+  std::shuffle(Near.begin(), Near.end(), this->Random);
+  for (std::size_t I = 0; I < std::min(Near.size(), internal::Greeted); ++I)
+    this->compareWith(*Near[I]);
 }
 
-void Gossip::greet(const proto::NodeEntry &Node) {
+void Gossip::compareWith(const proto::NodeEntry &Node) {
   proto::GossipMessage Message = this->message();
   Message.set_directory_hash(this->Nodes.hash());
   Message.set_wants_difference(true);
@@ -80,7 +94,7 @@
 void Gossip::spread(const proto::RolloutProgress &Progress) {
   proto::GossipMessage Message = this->message();
   *Message.add_rollouts() = Progress;
-  this->sendToAll(Message);
+  this->sendEverywhere(std::move(Message));
 }
 
 void Gossip::sendTallies(const std::string &Driver,
@@ -121,12 +135,20 @@
 void Gossip::handle(const proto::GossipMessage &Message) {
   const MonoTime Now = monoNow();
   const std::uint64_t OwnBoot = this->Nodes.own().boot();
-  bool Changed = this->Nodes.merge(Message.sender(), Now) ==
-                 Directory::Merge::Newer;
+  std::vector<proto::NodeEntry> News;
+  if (this->Nodes.merge(Message.sender(), Now) == Directory::Merge::Newer)
+    News.push_back(Message.sender());
   for (const proto::NodeEntry &Entry : Message.entries())
-    Changed |= this->Nodes.merge(Entry, Now) == Directory::Merge::Newer;
-  if (Changed)
+    if (this->Nodes.merge(Entry, Now) == Directory::Merge::Newer)
+      News.push_back(Entry);
+  if (!News.empty())
     this->On.OnNodes();
+  if (Message.relay())
+    this->relay(Message, News);
+  if (Message.follows_store())
+    this->Followers.insert(Message.sender().node());
+  else
+    this->Followers.erase(Message.sender().node());
   if (this->Nodes.own().boot() != OwnBoot)
     this->announce();
   for (const proto::RolloutProgress &Progress : Message.rollouts())
@@ -155,6 +177,16 @@
     this->send(this->message(), Message.sender());
 }
 
+void Gossip::relay(const proto::GossipMessage &Received,
+                   const std::vector<proto::NodeEntry> &News) {
+  proto::GossipMessage Message = this->message();
+  for (const proto::NodeEntry &Entry : News)
+    *Message.add_entries() = Entry;
+  *Message.mutable_rollouts() = Received.rollouts();
+  if (Message.entries_size() + Message.rollouts_size() > 0)
+    this->sendNear(Message);
+}
+
 void Gossip::sendSummary(const proto::NodeEntry &To) {
   proto::GossipMessage Message = this->message();
   for (const proto::RolloutProgress *Progress : this->Rollouts.all())
@@ -207,7 +239,7 @@
       if ((Entry->data_centre() != this->Nodes.own().data_centre()) == Remote)
         Choice.push_back(Entry);
     if (!Choice.empty())
-      this->greet(*Choice[this->Random() % Choice.size()]);
+      this->compareWith(*Choice[this->Random() % Choice.size()]);
     this->Nodes.forgetLeft(monoNow());
   }
 }
@@ -228,9 +260,21 @@
             {{"member", To.node()}, {"error", Error.message()}});
 }
 
-void Gossip::sendToAll(const proto::GossipMessage &Message) {
+void Gossip::sendNear(const proto::GossipMessage &Message) {
+  for (const proto::NodeEntry *Entry : this->Nodes.others())
+    if (Entry->data_centre() == this->Nodes.own().data_centre())
+      this->send(Message, *Entry);
+}
+
+void Gossip::sendEverywhere(proto::GossipMessage Message) {
+  this->sendNear(Message);
+  std::map<std::string, std::vector<const proto::NodeEntry *>> Far;
   for (const proto::NodeEntry *Entry : this->Nodes.others())
-    this->send(Message, *Entry);
+    if (Entry->data_centre() != this->Nodes.own().data_centre())
+      Far[Entry->data_centre()].push_back(Entry);
+  Message.set_relay(true);
+  for (const auto &[DataCentre, Choice] : Far)
+    this->send(Message, *Choice[this->Random() % Choice.size()]);
 }
 
 } // namespace persimmonquay
--- a/persimmonquay/daemon/gossip.h
+++ b/persimmonquay/daemon/gossip.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <functional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,8 +18,9 @@
 class RolloutBook;
 
 /// Spreads entries of nodes and the progress of rollouts. What changes is sent
-/// at once to every node known; what gets lost is found by comparing hashes
-/// with a random node each second: two nodes that differ exchange the hashes
+/// at once to every node of the own data centre and to one of each other, which
+/// passes it on there: bytes between data centres are dear. What gets lost is
+/// found by comparing hashes with a random node each second: two nodes that differ exchange the hashes
 /// of their entries, and then only the entries that one of them lacks. Lives
 /// on one thread.
 class Gossip {
@@ -45,8 +47,9 @@
   /// Tells all nodes known this node's entry.
   void announce();
 
-  /// Tells one node this node's entry and asks for what it knows.
-  void greet(const proto::NodeEntry &Node);
+  /// Tells this node's entry to nodes that were read from a list, and asks
+  /// some of them for what they know.
+  void greet(const std::vector<proto::NodeEntry> &Listed);
 
   /// Tells all nodes known how far a rollout is.
   void spread(const proto::RolloutProgress &Progress);
@@ -63,17 +66,31 @@
     this->ConfigurationVersion = Version;
   }
 
+  /// Sets whether this node is said to follow the operator's records.
+  void setFollowsStore(bool Follows) { this->FollowsStore = Follows; }
+
+  // Queries.
+
+  /// Returns whether `Node` has said that it follows the operator's records.
+  bool followsStore(const std::string &Node) const {
+    return this->Followers.contains(Node);
+  }
+
 private:
   asio::awaitable<void> receiveLoop();
   asio::awaitable<void> compareLoop();
   void handle(const proto::GossipMessage &Message);
+  void compareWith(const proto::NodeEntry &Node);
+  void relay(const proto::GossipMessage &Received,
+             const std::vector<proto::NodeEntry> &News);
   void sendSummary(const proto::NodeEntry &To);
   void answerSummary(const proto::GossipMessage &Summary);
   void sendEntries(const proto::NodeEntry &To,
                    const std::vector<const proto::NodeEntry *> &Entries);
   proto::GossipMessage message() const;
   void send(const proto::GossipMessage &Message, const proto::NodeEntry &To);
-  void sendToAll(const proto::GossipMessage &Message);
+  void sendNear(const proto::GossipMessage &Message);
+  void sendEverywhere(proto::GossipMessage Message);
 
   asio::io_context &Context;
   Directory &Nodes;
@@ -84,6 +101,8 @@
   std::array<char, 65536> Input{};
   std::uint64_t ConfigurationVersion = 0;
   std::mt19937_64 Random;
+  bool FollowsStore = false;
+  std::set<std::string> Followers;
   bool Stopped = false;
 };
 
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -38,6 +38,10 @@
 constexpr std::size_t Followers = 2;
 constexpr char FollowDuty[] = "follow";
 
+/// Time after the start in which nodes with a better claim are left to begin to
+/// follow: connections are made and datagrams compared within it.
+constexpr Millis FollowersSettle{1500};
+
 /// Time for which a configuration is awaited from the own data centre before
 /// it is fetched from another one.
 constexpr Millis NearSourcesFirst{800};
@@ -141,6 +145,7 @@
 MeshNode::~MeshNode() = default;
 
 absl::Status MeshNode::start() {
+  this->StartedAt = monoNow();
   absl::StatusOr<Tcp::acceptor> CallerListener =
       listenOn(this->Context, this->CallerAddress);
   if (!CallerListener.ok())
@@ -231,15 +236,21 @@
   const std::uint64_t OwnWeight =
       rendezvousWeight(internal::FollowDuty, this->Settings.node());
   std::size_t Better = 0;
+  std::size_t Following = 0;
   for (const proto::NodeEntry *Entry : this->Nodes.others()) {
     if (Entry->data_centre() != this->Settings.data_centre() ||
-        !Entry->follows_store() ||
         rendezvousWeight(internal::FollowDuty, Entry->node()) < OwnWeight)
       continue;
+    ++Better;
     const std::shared_ptr<PeerLink> Link = this->Outbound.linkTo(Entry->node());
-    Better += Link && Link->isUp() ? 1 : 0;
+    Following += this->Messenger.followsStore(Entry->node()) && Link &&
+                 Link->isUp();
   }
-  return Better < internal::Followers;
+  // Right after the start others may follow and not have said so yet.
+  if (Better >= internal::Followers &&
+      monoNow() - this->StartedAt < internal::FollowersSettle)
+    return false;
+  return Following < internal::Followers;
 }
 
 void MeshNode::setFollowing(bool Follows) {
@@ -248,7 +259,8 @@
   this->Following = Follows;
   logLine(LogLevel::Info, Follows ? "following the operator's records"
                                   : "no longer following the operator's records");
-  this->announceOwn();
+  this->Messenger.setFollowsStore(Follows);
+  this->Messenger.announceConfiguration();
 }
 
 void MeshNode::orderRollout(const proto::RolloutOrder &Order) {
@@ -258,15 +270,14 @@
 
 void MeshNode::learnNodes(const std::vector<proto::NodeEntry> &Entries) {
   const MonoTime Now = monoNow();
-  bool Changed = false;
-  for (const proto::NodeEntry &Entry : Entries) {
-    if (this->Nodes.merge(Entry, Now) != Directory::Merge::Newer)
-      continue;
-    Changed = true;
-    this->Messenger.greet(Entry);
-  }
-  if (Changed)
-    this->nodesChanged();
+  std::vector<proto::NodeEntry> News;
+  for (const proto::NodeEntry &Entry : Entries)
+    if (this->Nodes.merge(Entry, Now) == Directory::Merge::Newer)
+      News.push_back(Entry);
+  if (News.empty())
+    return;
+  this->nodesChanged();
+  this->Messenger.greet(News);
 }
 
 void MeshNode::nodesChanged() { this->Outbound.updateNodes(this->Nodes); }
@@ -303,7 +314,6 @@
   else
     Own.clear_upstream();
   Own.set_leaving(this->Stopping);
-  Own.set_follows_store(this->Following);
   if (!this->Nodes.setOwn(std::move(Own)))
     return;
   this->Messenger.announce();
--- a/persimmonquay/daemon/mesh_node.h
+++ b/persimmonquay/daemon/mesh_node.h
@@ -128,6 +128,7 @@
   /// own was first heard of.
   std::uint64_t AskedVersion = 0;
   MonoTime AskedAt;
+  MonoTime StartedAt;
   std::optional<MonoTime> BehindSince;
 };
 
