--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -63,6 +63,10 @@
 
   // Queries.
 
+  /// Whether a call runs at the upstream whose deadline is about `Deadline`:
+  /// what the upstream calls meanwhile has that deadline too.
+  bool runsUntil(MonoTime Deadline) const;
+
   proto::LoadReport load() const;
   std::size_t callsUnderWay() const { return this->Calls.size(); }
   const std::optional<proto::UpstreamEntry> &upstream() const {
