--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -163,6 +163,14 @@
   return Found == this->Targets.end() ? nullptr : Found->second->Link;
 }
 
+LinkTraffic CallRouter::farTraffic() const {
+  LinkTraffic Sum;
+  for (const auto &[Node, To] : this->Targets)
+    if (To->Link && To->Entry.data_centre() != this->Parts.DataCentre)
+      Sum += To->Link->traffic();
+  return Sum;
+}
+
 bool CallRouter::canReachUpstreams() const {
   return std::any_of(this->Targets.begin(), this->Targets.end(),
                      [](const auto &Item) {
--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -24,6 +24,7 @@
 class UpstreamGate;
 class PeerLink;
 class RolloutBook;
+struct LinkTraffic;
 
 /// What an egress is built from; all references must outlive it.
 struct EgressParts {
@@ -71,6 +72,8 @@
     return this->Routes;
   }
   std::shared_ptr<PeerLink> linkTo(const std::string &Node) const;
+  /// Returns the traffic with nodes of other data centres.
+  LinkTraffic farTraffic() const;
   /// Returns whether an upstream of some service can be reached.
   bool canReachUpstreams() const;
 
--- a/persimmonquay/daemon/gossip.cc
+++ b/persimmonquay/daemon/gossip.cc
@@ -249,9 +249,12 @@
   ErrorCode Error;
   const asio::ip::address Address =
       asio::ip::make_address(To.address(), Error);
+  const std::string Bytes = Message.SerializeAsString();
+  if (To.data_centre() != this->Nodes.own().data_centre())
+    this->FarBytes += Bytes.size();
   if (!Error)
     this->Socket.send_to(
-        asio::buffer(Message.SerializeAsString()),
+        asio::buffer(Bytes),
         Udp::endpoint(Address, static_cast<std::uint16_t>(To.link_port())), 0,
         Error);
   // What a lost datagram carried is found by the next comparison.
--- a/persimmonquay/daemon/gossip.h
+++ b/persimmonquay/daemon/gossip.h
@@ -71,6 +71,9 @@
 
   // Queries.
 
+  /// Returns the bytes sent to other data centres.
+  std::uint64_t farBytes() const { return this->FarBytes; }
+
   /// Returns whether `Node` has said that it follows the operator's records.
   bool followsStore(const std::string &Node) const {
     return this->Followers.contains(Node);
@@ -102,6 +105,7 @@
   std::uint64_t ConfigurationVersion = 0;
   std::mt19937_64 Random;
   bool FollowsStore = false;
+  std::uint64_t FarBytes = 0;
   std::set<std::string> Followers;
   bool Stopped = false;
 };
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -33,6 +33,9 @@
 
 constexpr Millis ShutdownCheckInterval{50};
 
+/// Interval at which the traffic with other data centres is logged.
+constexpr Millis TrafficLogInterval{10000};
+
 /// Nodes of a data centre that read what operators write; a second one, so
 /// that the loss of one delays nothing.
 constexpr std::size_t Followers = 2;
@@ -146,6 +149,7 @@
 
 absl::Status MeshNode::start() {
   this->StartedAt = monoNow();
+  this->TrafficLoggedAt = this->StartedAt;
   absl::StatusOr<Tcp::acceptor> CallerListener =
       listenOn(this->Context, this->CallerAddress);
   if (!CallerListener.ok())
@@ -331,9 +335,23 @@
     co_await this->WatchTimer.async_wait(NoThrow);
     if (this->Registry.expire(Limit, monoNow()))
       this->upstreamChanged();
+    if (monoNow() - this->TrafficLoggedAt >= internal::TrafficLogInterval)
+      this->logTraffic();
   }
 }
 
+void MeshNode::logTraffic() {
+  this->TrafficLoggedAt = monoNow();
+  const LinkTraffic Far = this->Outbound.farTraffic();
+  logLine(LogLevel::Info, "bytes between data centres since the start",
+          {{"calls", std::to_string(Far.Calls)},
+           {"answers", std::to_string(Far.Replies)},
+           {"rejections", std::to_string(Far.Rejections)},
+           {"configurations", std::to_string(Far.Configurations)},
+           {"other", std::to_string(Far.Other)},
+           {"datagrams", std::to_string(this->Messenger.farBytes())}});
+}
+
 bool MeshNode::isReady() const {
   return !this->Stopping && this->Outbound.routes() != nullptr &&
          this->Outbound.canReachUpstreams();
--- a/persimmonquay/daemon/mesh_node.h
+++ b/persimmonquay/daemon/mesh_node.h
@@ -103,6 +103,7 @@
   void configurationTold(const std::string &Node, std::uint64_t Version);
   HttpLimits callerLimits() const;
   asio::awaitable<void> watchUpstream();
+  void logTraffic();
   asio::awaitable<void> shutDown(std::function<void()> Done);
 
   asio::io_context &Context;
@@ -129,6 +130,7 @@
   std::uint64_t AskedVersion = 0;
   MonoTime AskedAt;
   MonoTime StartedAt;
+  MonoTime TrafficLoggedAt;
   std::optional<MonoTime> BehindSince;
 };
 
--- a/persimmonquay/daemon/peer_link.cc
+++ b/persimmonquay/daemon/peer_link.cc
@@ -71,7 +71,7 @@
   this->Pending[Id] = std::move(Handler);
   proto::LinkFrame Frame;
   *Frame.mutable_call() = std::move(Request);
-  this->Channel->send(Frame);
+  this->send(Frame);
   if (WasQuiet)
     this->ProbeTimer.cancel();
   return Id;
@@ -82,7 +82,7 @@
     return;
   proto::LinkFrame Frame;
   Frame.mutable_cancel()->set_id(Ticket);
-  this->Channel->send(Frame);
+  this->send(Frame);
 }
 
 void PeerLink::askForConfiguration(std::uint64_t HaveVersion) {
@@ -90,7 +90,7 @@
     return;
   proto::LinkFrame Frame;
   Frame.mutable_query()->set_have_version(HaveVersion);
-  this->Channel->send(Frame);
+  this->send(Frame);
 }
 
 asio::awaitable<void> PeerLink::connectLoop() {
@@ -143,7 +143,27 @@
     this->handle(std::move(*Frame));
 }
 
+void PeerLink::send(const proto::LinkFrame &Frame) {
+  this->countFrame(Frame);
+  this->Channel->send(Frame);
+}
+
+void PeerLink::countFrame(const proto::LinkFrame &Frame) {
+  const std::uint64_t Bytes = Frame.ByteSizeLong();
+  if (Frame.has_call())
+    this->Traffic.Calls += Bytes;
+  else if (Frame.has_reply() && Frame.reply().outcome() == proto::ANSWERED)
+    this->Traffic.Replies += Bytes;
+  else if (Frame.has_reply())
+    this->Traffic.Rejections += Bytes;
+  else if (Frame.has_configuration())
+    this->Traffic.Configurations += Bytes;
+  else
+    this->Traffic.Other += Bytes;
+}
+
 void PeerLink::handle(proto::LinkFrame Frame) {
+  this->countFrame(Frame);
   if (Frame.has_probe()) {
     this->ProbeAnswered = Frame.probe().sequence();
     return;
@@ -190,7 +210,7 @@
     this->ProbeSentAt = Now;
     proto::LinkFrame Frame;
     Frame.mutable_probe()->set_sequence(++this->ProbeSequence);
-    Current->send(Frame);
+    this->send(Frame);
   }
 }
 
--- a/persimmonquay/daemon/peer_link.h
+++ b/persimmonquay/daemon/peer_link.h
@@ -15,6 +15,24 @@
 
 class FrameChannel;
 
+/// Bytes of frames on one link, sent and received, by what they carry.
+struct LinkTraffic {
+  std::uint64_t Calls = 0;
+  std::uint64_t Replies = 0;
+  std::uint64_t Rejections = 0;
+  std::uint64_t Configurations = 0;
+  std::uint64_t Other = 0;
+
+  LinkTraffic &operator+=(const LinkTraffic &Added) {
+    this->Calls += Added.Calls;
+    this->Replies += Added.Replies;
+    this->Rejections += Added.Rejections;
+    this->Configurations += Added.Configurations;
+    this->Other += Added.Other;
+    return *this;
+  }
+};
+
 /// Connects in the background and again after every loss, so that calls are
 /// offered only to nodes that were reachable a moment ago. Notices by probes
 /// that the other side has gone silent. Lives on one thread.
@@ -47,6 +65,7 @@
 
   /// Whether the peer answered lately, as far as is known.
   bool isUp() const;
+  const LinkTraffic &traffic() const { return this->Traffic; }
   const Tcp::endpoint &address() const { return this->Address; }
   const std::string &node() const { return this->Node; }
 
@@ -56,6 +75,8 @@
   asio::awaitable<void> receiveLoop();
   asio::awaitable<void> probeLoop();
   void handle(proto::LinkFrame Frame);
+  void send(const proto::LinkFrame &Frame);
+  void countFrame(const proto::LinkFrame &Frame);
   void failPending(const std::string &Reason);
 
   asio::io_context &Context;
@@ -72,6 +93,7 @@
   std::uint64_t ProbeSequence = 0;
   std::uint64_t ProbeAnswered = 0;
   MonoTime ProbeSentAt;
+  LinkTraffic Traffic;
 };
 
 } // namespace persimmonquay
