--- /dev/null
+++ b/testing/platform/small_mesh.cc
@@ -0,0 +1,210 @@
+#include "testing/platform/small_mesh.h"
+
+#include "testing/free_port.h"
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/TemporaryFile.h>
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_cat.h>
+#include <array>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+namespace persimmonquay::testing {
+namespace {
+
+using Json = nlohmann::json;
+
+/// Generous, for machines that are busy.
+constexpr Millis StartTimeout{60000};
+
+std::string addressOf(std::uint16_t Port) {
+  return absl::StrCat("127.0.0.1:", Port);
+}
+
+std::string programPath() {
+  return (std::filesystem::read_symlink("/proc/self/exe").parent_path() /
+          "persimmonquay")
+      .string();
+}
+
+MeshAnswer exchange(std::uint16_t Port, Poco::Net::HTTPRequest &Request,
+                    const std::string &Body) {
+  MeshAnswer Result;
+  try {
+    Poco::Net::HTTPClientSession Session("127.0.0.1", Port);
+    Session.setTimeout(Poco::Timespan(30, 0));
+    if (!Body.empty() || Request.getMethod() == "POST")
+      Request.setContentLength(static_cast<std::streamsize>(Body.size()));
+    Session.sendRequest(Request) << Body;
+    Poco::Net::HTTPResponse Response;
+    std::istream &Stream = Session.receiveResponse(Response);
+    Poco::StreamCopier::copyToString(Stream, Result.Body);
+    for (const auto &[Name, Value] : Response)
+      Result.Headers[absl::AsciiStrToLower(Name)] = Value;
+    Result.Status = Response.getStatus();
+  } catch (const Poco::Exception &) {
+    Result.Status = 0;
+  }
+  return Result;
+}
+
+} // namespace
+
+SmallMesh::SmallMesh() : Directory(Poco::TemporaryFile::tempName()) {
+  std::filesystem::create_directories(this->Directory);
+}
+
+SmallMesh::~SmallMesh() {
+  this->Places.clear();
+  std::filesystem::remove_all(this->Directory);
+}
+
+MeshPlace &SmallMesh::add(const std::string &Service,
+                          const std::string &Version) {
+  auto Place = std::make_unique<MeshPlace>();
+  Place->Name = absl::StrCat("node-", this->Places.size() + 1);
+  Place->Instance = absl::StrCat("i-", this->Places.size() + 1);
+  Place->Service = Service;
+  Place->Version = Version;
+  Place->StartedUnixMs = static_cast<std::uint64_t>(unixMillis(wallNow()));
+  Place->CallerPort = freePort();
+  Place->LinkPort = freePort();
+  Place->ReadinessPort = freePort();
+  Place->RegistrationPort = freePort();
+  Place->App = std::make_unique<AppStandIn>(
+      [](const ReceivedRequest &Request) { return answerTo(Request); });
+  MeshPlace &Added = *Place;
+  this->Places.push_back(std::move(Place));
+  this->startNode(Added);
+  eventually(StartTimeout, [&] { return this->heartbeat(Added) == 200; });
+  return Added;
+}
+
+void SmallMesh::startNode(MeshPlace &Place) {
+  const std::string Settings =
+      absl::StrCat(this->Directory, "/", Place.Name, ".json");
+  const Json Values = {{"node", Place.Name},
+                       {"data_centre", "here"},
+                       {"address", "127.0.0.1"},
+                       {"caller_address", addressOf(Place.CallerPort)},
+                       {"link_address", addressOf(Place.LinkPort)},
+                       {"readiness_address", addressOf(Place.ReadinessPort)},
+                       {"registration_address",
+                        addressOf(Place.RegistrationPort)},
+                       {"upstream_address", addressOf(Place.App->port())},
+                       {"service", Place.Service},
+                       {"store_address", addressOf(this->Store.port())},
+                       {"registration_interval_s", 60},
+                       {"grace_period_s", 6},
+                       {"drain_timeout_s", 2},
+                       {"retry_budget_ratio", 0.2},
+                       {"retry_budget_window_s", 10},
+                       {"retry_budget_extra", 60},
+                       {"exposure_share", 0.1},
+                       {"exposure_extra", 50},
+                       {"memory_mb", 256}};
+  std::ofstream(Settings) << Values.dump(2);
+  Place.Node.reset();
+  Place.Node = std::make_unique<Process>(
+      std::vector<std::string>{programPath(), "sidecar", "--settings",
+                               Settings},
+      absl::StrCat(this->Directory, "/", Place.Name, ".log"));
+}
+
+int SmallMesh::heartbeat(MeshPlace &Place, const std::string &State,
+                         std::uint32_t Slots) {
+  const Json Body = {{"service", Place.Service},
+                     {"address", addressOf(Place.App->port())},
+                     {"zone", "here"},
+                     {"version", Place.Version},
+                     {"capacity_slots", Slots},
+                     {"state", State},
+                     {"cold_remaining_s", 0},
+                     {"sequence", ++Place.Sequence},
+                     {"born", Place.StartedUnixMs}};
+  Poco::Net::HTTPRequest Request(
+      "POST", absl::StrCat("/-/Instances.Heartbeat/", Place.Instance),
+      "HTTP/1.1");
+  Request.setContentType("application/json");
+  return exchange(Place.RegistrationPort, Request, Body.dump()).Status;
+}
+
+void SmallMesh::publish(std::uint64_t Version, const std::string &Service,
+                        std::uint32_t TimeoutMs) {
+  Json Services = Json::array();
+  for (const char *Name : {"gallery", "orders"})
+    Services.push_back({{"name", Name},
+                        {"health_check_path", "/health"},
+                        {"max_connections", 100}});
+  Json Rules = Json::array();
+  for (const auto &[Path, Kind] :
+       {std::pair{"/views/", "safe"}, std::pair{"/orders/", "unsafe"}})
+    Rules.push_back({{"name", absl::StrCat("r", Path)},
+                     {"path_prefix", Path},
+                     {"kind", Kind},
+                     {"timeout_s", TimeoutMs / 1000.0},
+                     {"target_latency_s", 0.5},
+                     {"priority", 1},
+                     {"service", Service},
+                     {"max_attempts", 2}});
+  const Json Configuration = {
+      {"version", Version},
+      {"services", Services},
+      {"limits",
+       {{"max_header_bytes", 4096},
+        {"max_body_bytes", 100000},
+        {"header_timeout_s", 3},
+        {"idle_timeout_s", 15}}},
+      {"virtual_hosts",
+       Json::array({{{"host", "boards.example"}, {"path_rules", Rules}}})}};
+  this->Store.put("keyed.op", "config", Configuration.dump());
+}
+
+bool SmallMesh::waitUntilReady() {
+  return eventually(StartTimeout, [this] {
+    for (const std::unique_ptr<MeshPlace> &Place : this->Places) {
+      Poco::Net::HTTPRequest Request("GET", "/-/readiness", "HTTP/1.1");
+      if (exchange(Place->ReadinessPort, Request, "").Status != 200)
+        return false;
+    }
+    return true;
+  });
+}
+
+MeshAnswer SmallMesh::call(const MeshPlace &Through, const MeshCall &Options) {
+  Poco::Net::HTTPRequest Request(Options.Method, Options.Target, "HTTP/1.1");
+  Request.setHost("boards.example");
+  Request.set("X-Persimmonquay-Request-Id", Options.Id);
+  Request.set("X-Persimmonquay-Deadline-Remaining",
+              std::to_string(Options.PatienceMs));
+  Request.set("X-Persimmonquay-Calling-Service", "forged");
+  return exchange(Through.CallerPort, Request, Options.Body);
+}
+
+std::string sendBytes(std::uint16_t Port, const std::string &Bytes,
+                      Millis Silence) {
+  std::string Received;
+  try {
+    Poco::Net::StreamSocket Socket(Poco::Net::SocketAddress("127.0.0.1", Port));
+    Socket.setReceiveTimeout(Poco::Timespan(Silence.count() * 1000));
+    Socket.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+    std::array<char, 4096> Buffer;
+    while (true) {
+      const int Size = Socket.receiveBytes(Buffer.data(), Buffer.size());
+      if (Size <= 0)
+        return Received;
+      Received.append(Buffer.data(), static_cast<std::size_t>(Size));
+    }
+  } catch (const Poco::Exception &) {
+    return Received;
+  }
+}
+
+} // namespace persimmonquay::testing
