Pass on what changed of a configuration, from hosts with more bandwidth

Ruled out: the store (a follower had version 36 in time). Change: deltas between kept versions; hosts with wider links follow first.

--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -45,7 +45,7 @@
 /// for what may have run. Lives on one thread.
 class CallRouter {
 public:
-  using LinkHandler = std::function<void(proto::MeshConfiguration)>;
+  using LinkHandler = std::function<void(proto::LinkFrame)>;
 
   explicit CallRouter(EgressParts Parts, LinkHandler OnConfiguration);
   CallRouter(const CallRouter &) = delete;
--- a/persimmonquay/daemon/link_server.cc
+++ b/persimmonquay/daemon/link_server.cc
@@ -94,13 +94,9 @@
       Frame->mutable_probe()->set_answer(true);
       Channel->send(*Frame);
     } else if (Frame->has_query()) {
-      const proto::MeshConfiguration *Current = this->Configuration();
-      if (Current != nullptr &&
-          Current->version() > Frame->query().have_version()) {
-        proto::LinkFrame Answer;
-        *Answer.mutable_configuration() = *Current;
-        Channel->send(Answer);
-      }
+      if (const std::optional<proto::LinkFrame> Answer =
+              this->Configuration(Frame->query().have_version()))
+        Channel->send(*Answer);
     }
   }
   for (const auto &[Id, Ticket] : *Tickets)
--- a/persimmonquay/daemon/link_server.h
+++ b/persimmonquay/daemon/link_server.h
@@ -19,8 +19,10 @@
 /// allows. Lives on one thread.
 class LinkServer : public std::enable_shared_from_this<LinkServer> {
 public:
-  /// Returns the configuration in force, or null.
-  using ConfigurationSource = std::function<const proto::MeshConfiguration *()>;
+  /// Returns a frame that brings a node from a version to the one in force, or
+  /// none when that is no newer.
+  using ConfigurationSource =
+      std::function<std::optional<proto::LinkFrame>(std::uint64_t)>;
 
   LinkServer(asio::io_context &Loop, UpstreamGate &Gate, ConfigurationSource Source);
 
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -5,6 +5,7 @@
 #include "persimmonquay/daemon/link_server.h"
 #include "persimmonquay/daemon/peer_link.h"
 #include "persimmonquay/daemon/sockets.h"
+#include "persimmonquay/mesh/configuration_delta.h"
 #include <algorithm>
 #include <utility>
 
@@ -45,6 +46,10 @@
 /// follow: connections are made and datagrams compared within it.
 constexpr Millis FollowersSettle{1500};
 
+/// Configurations that are kept to tell others what has changed since: several
+/// seconds of changes in quick succession.
+constexpr std::size_t KeptConfigurations = 16;
+
 /// Time for which a configuration is awaited from the own data centre before
 /// it is fetched from another one.
 constexpr Millis NearSourcesFirst{800};
@@ -116,8 +121,8 @@
                            Millis(static_cast<std::int64_t>(
                                Parts.Settings.retry_budget_window_s() * 1000))},
               this->Gate, this->Rollouts},
-          [this](proto::MeshConfiguration Next) {
-            this->applyConfiguration(std::move(Next));
+          [this](proto::LinkFrame Frame) {
+            this->takeConfiguration(std::move(Frame));
           }),
       Messenger(Parts.Context, this->Nodes, this->Rollouts,
                 Gossip::Events{
@@ -141,6 +146,7 @@
   Own.set_data_centre(this->Settings.data_centre());
   Own.set_address(this->Settings.address());
   Own.set_link_port(this->LinkAddress.port());
+  Own.set_link_mbps(static_cast<std::uint32_t>(this->Settings.link_mbps()));
   this->Nodes.setOwn(std::move(Own));
   this->Outbound.updateNodes(this->Nodes);
 }
@@ -167,10 +173,8 @@
         return this->Outbound.serve(std::move(Request));
       });
   this->Links = std::make_shared<LinkServer>(
-      this->Context, this->Gate, [this]() -> const proto::MeshConfiguration * {
-        return this->Outbound.routes()
-                   ? &this->Outbound.routes()->configuration()
-                   : nullptr;
+      this->Context, this->Gate, [this](std::uint64_t Have) {
+        return this->configurationSince(Have);
       });
   this->Callers->start(*std::move(CallerListener));
   this->Links->start(*std::move(LinkListener));
@@ -204,6 +208,10 @@
   this->LongestIdleTimeout = std::max(
       this->LongestIdleTimeout, Millis(Next.limits().idle_timeout_ms()));
   this->Outbound.setRoutes(std::make_shared<const RouteTable>(std::move(Next)));
+  this->History.push_back(this->Outbound.routes());
+  if (this->History.size() > internal::KeptConfigurations)
+    this->History.pop_front();
+  this->Deltas.clear();
   this->Messenger.setConfigurationVersion(Version);
   this->BehindSince.reset();
   if (this->Following)
@@ -213,6 +221,43 @@
           {{"version", std::to_string(Version)}});
 }
 
+void MeshNode::takeConfiguration(proto::LinkFrame Frame) {
+  if (Frame.has_configuration()) {
+    this->applyConfiguration(std::move(*Frame.mutable_configuration()));
+    return;
+  }
+  if (!this->Outbound.routes())
+    return;
+  absl::StatusOr<proto::MeshConfiguration> Next = applyDelta(
+      this->Outbound.routes()->configuration(), Frame.delta());
+  if (Next.ok())
+    this->applyConfiguration(*std::move(Next));
+  else
+    // A newer one has come meanwhile; the next comparison tells.
+    logLine(LogLevel::Debug, "delta not applied",
+            {{"reason", std::string(Next.status().message())}});
+}
+
+std::optional<proto::LinkFrame>
+MeshNode::configurationSince(std::uint64_t Have) {
+  const std::shared_ptr<const RouteTable> &Current = this->Outbound.routes();
+  if (!Current || Current->version() <= Have)
+    return std::nullopt;
+  const auto Known = this->Deltas.find(Have);
+  if (Known != this->Deltas.end())
+    return Known->second;
+  proto::LinkFrame Frame;
+  for (const std::shared_ptr<const RouteTable> &Base : this->History)
+    if (Base->version() == Have)
+      *Frame.mutable_delta() =
+          makeDelta(Base->configuration(), Current->configuration());
+  if (!Frame.has_delta())
+    *Frame.mutable_configuration() = Current->configuration();
+  else
+    this->Deltas[Have] = Frame;
+  return Frame;
+}
+
 void MeshNode::configurationTold(const std::string &Node,
                                  std::uint64_t Version) {
   const std::shared_ptr<const RouteTable> &Current = this->Outbound.routes();
@@ -237,13 +282,17 @@
 bool MeshNode::shouldFollow() const {
   if (this->Stopping)
     return false;
-  const std::uint64_t OwnWeight =
-      rendezvousWeight(internal::FollowDuty, this->Settings.node());
+  // Passing configurations on takes bandwidth: hosts with more go first.
+  const auto Claim = [](const proto::NodeEntry &Entry) {
+    return std::pair(Entry.link_mbps(),
+                     rendezvousWeight(internal::FollowDuty, Entry.node()));
+  };
+  const auto OwnClaim = Claim(this->Nodes.own());
   std::size_t Better = 0;
   std::size_t Following = 0;
   for (const proto::NodeEntry *Entry : this->Nodes.others()) {
     if (Entry->data_centre() != this->Settings.data_centre() ||
-        rendezvousWeight(internal::FollowDuty, Entry->node()) < OwnWeight)
+        Claim(*Entry) < OwnClaim)
       continue;
     ++Better;
     const std::shared_ptr<PeerLink> Link = this->Outbound.linkTo(Entry->node());
--- a/persimmonquay/daemon/mesh_node.h
+++ b/persimmonquay/daemon/mesh_node.h
@@ -16,7 +16,9 @@
 #include "proto/mesh.pb.h"
 #include "proto/sidecar.pb.h"
 #include <absl/status/status.h>
+#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -100,6 +102,8 @@
   void upstreamChanged();
   void announceOwn();
   void nodesChanged();
+  void takeConfiguration(proto::LinkFrame Frame);
+  std::optional<proto::LinkFrame> configurationSince(std::uint64_t Have);
   void configurationTold(const std::string &Node, std::uint64_t Version);
   HttpLimits callerLimits() const;
   asio::awaitable<void> watchUpstream();
@@ -125,6 +129,10 @@
   Millis LongestIdleTimeout{0};
   bool Stopping = false;
   bool Following = false;
+  /// The last configurations, oldest first, and the frames made of them by the
+  /// version from which they lead to the one in force.
+  std::deque<std::shared_ptr<const RouteTable>> History;
+  std::map<std::uint64_t, proto::LinkFrame> Deltas;
   /// Newest version that was asked for, and when; when a newer one than the
   /// own was first heard of.
   std::uint64_t AskedVersion = 0;
--- a/persimmonquay/daemon/peer_link.cc
+++ b/persimmonquay/daemon/peer_link.cc
@@ -156,7 +156,7 @@
     this->Traffic.Replies += Bytes;
   else if (Frame.has_reply())
     this->Traffic.Rejections += Bytes;
-  else if (Frame.has_configuration())
+  else if (Frame.has_configuration() || Frame.has_delta())
     this->Traffic.Configurations += Bytes;
   else
     this->Traffic.Other += Bytes;
@@ -168,8 +168,8 @@
     this->ProbeAnswered = Frame.probe().sequence();
     return;
   }
-  if (Frame.has_configuration()) {
-    this->OnConfiguration(std::move(*Frame.mutable_configuration()));
+  if (Frame.has_configuration() || Frame.has_delta()) {
+    this->OnConfiguration(std::move(Frame));
     return;
   }
   if (!Frame.has_reply())
--- a/persimmonquay/daemon/peer_link.h
+++ b/persimmonquay/daemon/peer_link.h
@@ -39,7 +39,8 @@
 class PeerLink : public std::enable_shared_from_this<PeerLink> {
 public:
   using ReplyHandler = std::function<void(proto::CallReply)>;
-  using ConfigurationHandler = std::function<void(proto::MeshConfiguration)>;
+  /// Takes a frame that carries a configuration or a delta.
+  using ConfigurationHandler = std::function<void(proto::LinkFrame)>;
 
   /// `QuietProbes` is the interval of probes while no call is under way.
   PeerLink(asio::io_context &Loop, std::string NodeName,
--- a/persimmonquay/mesh/mesh_test.cc
+++ b/persimmonquay/mesh/mesh_test.cc
@@ -1,3 +1,4 @@
+#include "persimmonquay/mesh/configuration_delta.h"
 #include "persimmonquay/mesh/route_table.h"
 #include "persimmonquay/mesh/traffic_split.h"
 #include <cmath>
@@ -65,6 +66,44 @@
   CHECK_FALSE(checkConfiguration(NoSlash).ok());
 }
 
+TEST_CASE("a delta turns one configuration into the next") {
+  const proto::MeshConfiguration Base = sampleConfiguration();
+  proto::MeshConfiguration Next = Base;
+  Next.set_version(12);
+  Next.mutable_limits()->set_idle_timeout_ms(9000);
+  Next.mutable_hosts(0)->mutable_routes()->DeleteSubrange(0, 1);
+  Next.mutable_hosts(0)->mutable_routes(0)->set_timeout_ms(900);
+  proto::VirtualHost *Host = Next.add_hosts();
+  Host->set_host("crews.example");
+  *Host->add_routes() = Base.hosts(0).routes(2);
+  const proto::ConfigurationDelta Delta = makeDelta(Base, Next);
+  CHECK(Delta.changed_size() == 2);
+  CHECK(Delta.removed_size() == 1);
+  const auto Made = applyDelta(Base, Delta);
+  REQUIRE(Made.ok());
+  CHECK(Made->SerializeAsString() == Next.SerializeAsString());
+}
+
+TEST_CASE("a small change of many routes makes a small delta") {
+  proto::MeshConfiguration Base = sampleConfiguration();
+  for (int I = 0; I < 600; ++I) {
+    proto::MeshRoute *Route = Base.mutable_hosts(0)->add_routes();
+    *Route = Base.hosts(0).routes(1);
+    Route->set_path_prefix("/r" + std::to_string(I) + "/");
+  }
+  proto::MeshConfiguration Next = Base;
+  Next.set_version(8);
+  Next.mutable_hosts(0)->mutable_routes(300)->set_timeout_ms(1);
+  CHECK(makeDelta(Base, Next).ByteSizeLong() * 50 < Next.ByteSizeLong());
+}
+
+TEST_CASE("a delta for another version is refused") {
+  const proto::MeshConfiguration Base = sampleConfiguration();
+  proto::ConfigurationDelta Delta = makeDelta(Base, Base);
+  Delta.set_base_version(6);
+  CHECK_FALSE(applyDelta(Base, Delta).ok());
+}
+
 TEST_CASE("every part is within one call of its weight at any time") {
   const std::vector<std::uint32_t> Weights = {70, 20, 10, 0};
   TrafficSplit Split(Weights, 0.37);
