--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -46,9 +46,9 @@
 /// follow: connections are made and datagrams compared within it.
 constexpr Millis FollowersSettle{1500};
 
-/// Configurations that are kept to tell others what has changed since: several
-/// seconds of changes in quick succession.
-constexpr std::size_t KeptConfigurations = 16;
+/// Configurations that a follower keeps to tell others what has changed since:
+/// two seconds of changes in quick succession.
+constexpr std::size_t KeptConfigurations = 10;
 
 /// Time for which a configuration is awaited from the own data centre before
 /// it is fetched from another one.
@@ -82,12 +82,6 @@
   return *this;
 }
 
-MeshNode::Builder &MeshNode::Builder::onOwnEntry(
-    std::function<void(const proto::NodeEntry &)> Handler) {
-  this->OwnEntryHandler = std::move(Handler);
-  return *this;
-}
-
 absl::StatusOr<std::unique_ptr<MeshNode>> MeshNode::Builder::build() {
   struct {
     const std::string &Text;
@@ -107,7 +101,6 @@
 
 MeshNode::MeshNode(const Builder &Parts)
     : Context(Parts.Context), Settings(Parts.Settings),
-      OwnEntryHandler(Parts.OwnEntryHandler),
       CallerAddress(Parts.CallerAddress), LinkAddress(Parts.LinkAddress),
       Nodes(Parts.Settings.node(),
             static_cast<std::uint64_t>(unixMillis(wallNow()))),
@@ -209,7 +202,8 @@
       this->LongestIdleTimeout, Millis(Next.limits().idle_timeout_ms()));
   this->Outbound.setRoutes(std::make_shared<const RouteTable>(std::move(Next)));
   this->History.push_back(this->Outbound.routes());
-  if (this->History.size() > internal::KeptConfigurations)
+  const std::size_t Kept = this->Following ? internal::KeptConfigurations : 1;
+  while (this->History.size() > Kept)
     this->History.pop_front();
   this->Deltas.clear();
   this->Messenger.setConfigurationVersion(Version);
@@ -371,8 +365,6 @@
     return;
   this->Messenger.announce();
   this->nodesChanged();
-  if (this->OwnEntryHandler)
-    this->OwnEntryHandler(this->Nodes.own());
 }
 
 asio::awaitable<void> MeshNode::watchUpstream() {
--- a/persimmonquay/daemon/mesh_node.h
+++ b/persimmonquay/daemon/mesh_node.h
@@ -39,8 +39,6 @@
     Builder &headerNames(HeaderNames Names);
     /// Where the states of rollouts are stored.
     Builder &statusWriter(RolloutDriver::StatusWriter Writer);
-    /// Called when the node's own entry has changed.
-    Builder &onOwnEntry(std::function<void(const proto::NodeEntry &)> Handler);
     /// Returns InvalidArgument for settings that can't be used.
     absl::StatusOr<std::unique_ptr<MeshNode>> build();
 
@@ -50,7 +48,6 @@
     proto::SidecarSettings Settings;
     HeaderNames Names;
     RolloutDriver::StatusWriter Writer;
-    std::function<void(const proto::NodeEntry &)> OwnEntryHandler;
     Tcp::endpoint CallerAddress;
     Tcp::endpoint LinkAddress;
     Tcp::endpoint UpstreamAddress;
@@ -112,7 +109,6 @@
 
   asio::io_context &Context;
   proto::SidecarSettings Settings;
-  std::function<void(const proto::NodeEntry &)> OwnEntryHandler;
   Tcp::endpoint CallerAddress;
   Tcp::endpoint LinkAddress;
   Directory Nodes;
--- a/persimmonquay/rollout/rollout_policy.cc
+++ b/persimmonquay/rollout/rollout_policy.cc
@@ -9,17 +9,21 @@
 namespace internal {
 
 /// Share of the service's calls that the target gets from a part of the
-/// duration on. Up to a half of the time it stays below the share that may be
-/// exposed; the steps after it leave time to look and to finish.
+/// duration on. Up to two fifths of the time it stays below the share that may
+/// be exposed, so that harm that begins late shows; the steps after it leave
+/// time to look, to wait for doubts to pass and to finish.
 struct Step {
   double From;
   std::uint32_t SharePermille;
 };
 constexpr std::array<Step, 5> Steps = {
-    {{0.0, 70}, {0.52, 200}, {0.60, 400}, {0.68, 700}, {0.76, 1000}}};
+    {{0.0, 70}, {0.40, 200}, {0.48, 400}, {0.56, 700}, {0.64, 1000}}};
+
+/// Steps that may be taken at once when the time has run ahead of the share.
+constexpr std::size_t MaxStepsAtOnce = 2;
 
 /// Part of the duration from which a version that takes all calls is complete.
-constexpr double CompleteFrom = 0.84;
+constexpr double CompleteFrom = 0.74;
 
 /// Time at the full share before the old upstreams are given up: every node has
 /// heard of the share, and calls sent to the old version have ended.
@@ -200,11 +204,13 @@
   if (Situation.TargetSlots == 0)
     return Result;
   std::uint32_t Wanted = Situation.SharePermille;
+  std::size_t StepsTaken = 0;
   for (const internal::Step &Each : internal::Steps)
-    if (Progress >= Each.From && Each.SharePermille > Wanted) {
-      // One step at a time.
+    if (Progress >= Each.From &&
+        Each.SharePermille > Situation.SharePermille &&
+        StepsTaken < internal::MaxStepsAtOnce) {
       Wanted = Each.SharePermille;
-      break;
+      ++StepsTaken;
     }
   const auto MaxUnproven = static_cast<std::uint32_t>(Limits.Share * 1000);
   if (Wanted > MaxUnproven) {
