--- a/persimmonquay/base/logging.cc
+++ b/persimmonquay/base/logging.cc
@@ -1,16 +1,19 @@
 #include "persimmonquay/base/logging.h"
 
+#include "persimmonquay/base/line_writer.h"
 #include "persimmonquay/base/time.h"
 #include <absl/strings/str_cat.h>
 #include <array>
 #include <atomic>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <iostream>
+#include <boost/smart_ptr/make_shared.hpp>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace persimmonquay {
 namespace internal {
@@ -18,7 +21,26 @@
 constexpr std::array<std::string_view, 5> LevelNames = {
     "trace", "debug", "info", "warning", "error"};
 
+/// Lines that wait for a reader; a few seconds of a busy node's.
+constexpr std::size_t MaxBufferedBytes = 262144;
+
+LineWriter &lineWriter() {
+  static LineWriter Writer(STDOUT_FILENO, MaxBufferedBytes);
+  return Writer;
+}
+
+/// Hands Boost.Log's formatted records to the line writer, which is
+/// thread-safe itself.
+class LineSink : public boost::log::sinks::basic_formatted_sink_backend<
+                     char, boost::log::sinks::concurrent_feeding> {
+public:
+  void consume(const boost::log::record_view &, const std::string &Line) {
+    lineWriter().add(Line);
+  }
+};
+
 struct LogContext {
+  LogLevel Lowest = LogLevel::Trace;
   std::string Node;
   std::string DataCentre;
   std::atomic<std::uint64_t> ConfigVersion = 0;
@@ -48,15 +70,20 @@
   namespace logging = boost::log;
   internal::logContext().Node = Node;
   internal::logContext().DataCentre = DataCentre;
-  logging::add_console_log(std::clog,
-                           logging::keywords::format =
-                               logging::expressions::stream
-                               << logging::expressions::smessage,
-                           logging::keywords::auto_flush = true);
-  logging::core::get()->set_filter(
-      logging::expressions::attr<int>("Severity") >= static_cast<int>(Lowest));
+  internal::logContext().Lowest = Lowest;
+  using Sink = logging::sinks::unlocked_sink<internal::LineSink>;
+  const auto Added = boost::make_shared<Sink>();
+  Added->set_formatter(logging::expressions::stream
+                       << logging::expressions::smessage);
+  logging::core::get()->add_sink(Added);
 }
 
+void deferLogWrites() { internal::lineWriter().deferWrites(); }
+
+void flushLogs() { internal::lineWriter().flush(); }
+
+std::uint64_t droppedLogLines() { return internal::lineWriter().dropped(); }
+
 void setLoggedConfigVersion(std::uint64_t Version) {
   internal::logContext().ConfigVersion = Version;
 }
@@ -65,6 +92,8 @@
              std::initializer_list<LogField> Fields) {
   thread_local boost::log::sources::severity_logger<int> Logger;
   const internal::LogContext &Context = internal::logContext();
+  if (Level < Context.Lowest)
+    return;
   nlohmann::ordered_json Line;
   Line["unix_ms"] = unixMillis(wallNow());
   Line["level"] = internal::LevelNames[static_cast<std::size_t>(Level)];
--- a/persimmonquay/base/logging.h
+++ b/persimmonquay/base/logging.h
@@ -1,8 +1,10 @@
-// Structured logs as JSON lines on standard error, through Boost.Log.
+// Structured logs as JSON lines on standard output, through Boost.Log. A
+// reader that stalls costs lines, never time.
 #ifndef PERSIMMONQUAY_BASE_LOGGING_H
 #define PERSIMMONQUAY_BASE_LOGGING_H
 
 #include <absl/status/status.h>
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -28,6 +30,15 @@
 /// Sets the configuration version that the following lines carry. Thread-safe.
 void setLoggedConfigVersion(std::uint64_t Version);
 
+/// Leaves writing to `flushLogs()`, which an event loop calls often.
+void deferLogWrites();
+
+/// Writes the lines that the reader takes now. Thread-safe.
+void flushLogs();
+
+/// Returns how many lines were dropped since the reader took none.
+std::uint64_t droppedLogLines();
+
 /// Writes one line. Thread-safe.
 void logLine(LogLevel Level, std::string_view Message,
              std::initializer_list<LogField> Fields = {});
--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -3,8 +3,9 @@
 #include "persimmonquay/base/hashing.h"
 #include "persimmonquay/base/logging.h"
 #include "persimmonquay/daemon/caller_server.h"
-#include "persimmonquay/daemon/upstream_gate.h"
+#include "persimmonquay/daemon/metrics.h"
 #include "persimmonquay/daemon/peer_link.h"
+#include "persimmonquay/daemon/upstream_gate.h"
 #include "persimmonquay/fleet/directory.h"
 #include "persimmonquay/rollout/rollout_book.h"
 #include <absl/strings/numbers.h>
@@ -62,14 +63,17 @@
 constexpr Millis NearProbeInterval{2000};
 constexpr Millis FarProbeInterval{8000};
 
+/// Lines a second about requests that went well; those about others are not
+/// limited.
+constexpr double PlainLinesPerSecond = 4;
+
 constexpr unsigned StatusBadGateway = 502;
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusGatewayTimeout = 504;
 
 constexpr std::string_view ConnectionHeaders[] = {
-    "connection", "keep-alive",        "proxy-connection", "te",
-    "trailer",    "transfer-encoding", "upgrade",          "content-length",
-    "expect"};
+    "connection",        "keep-alive", "proxy-connection", "te",    "trailer",
+    "transfer-encoding", "upgrade",    "content-length",   "expect"};
 
 bool belongsToConnection(const HttpRequest &Message, std::string_view Name) {
   for (const std::string_view Each : ConnectionHeaders)
@@ -128,12 +132,15 @@
   std::optional<proto::CallReply> Failure;
   Millis RetryAfter{0};
   std::string LastReason;
+  RequestEnd End = RequestEnd::Answered;
 };
 
 CallRouter::CallRouter(EgressParts Given, LinkHandler Handler)
     : Parts(std::move(Given)), OnConfiguration(std::move(Handler)),
-      Random(hashBytes(this->Parts.OwnNode, static_cast<std::uint64_t>(
-                                                unixMillis(wallNow())))) {}
+      Random(hashBytes(this->Parts.OwnNode,
+                       static_cast<std::uint64_t>(unixMillis(wallNow())))),
+      PlainLines(internal::PlainLinesPerSecond, internal::PlainLinesPerSecond) {
+}
 
 CallRouter::~CallRouter() = default;
 
@@ -195,11 +202,12 @@
             Entry->upstream().instance() &&
         Found->second->Entry.upstream().started_unix_ms() ==
             Entry->upstream().started_unix_ms();
-    const bool SameNode = Found != this->Targets.end() &&
-                          Found->second->Entry.address() == Entry->address() &&
-                          Found->second->Entry.link_port() == Entry->link_port();
-    auto Next = SameUpstream && SameNode ? Found->second
-                                         : std::make_shared<Target>();
+    const bool SameNode =
+        Found != this->Targets.end() &&
+        Found->second->Entry.address() == Entry->address() &&
+        Found->second->Entry.link_port() == Entry->link_port();
+    auto Next =
+        SameUpstream && SameNode ? Found->second : std::make_shared<Target>();
     if (!SameUpstream || !SameNode)
       Next->View = UpstreamView(Entry->data_centre() == this->Parts.DataCentre,
                                 Entry->upstream().slots());
@@ -218,13 +226,12 @@
                 {{"member", Entry->node()}, {"address", Entry->address()}});
         continue;
       }
-      Next->Link =
-          std::make_shared<PeerLink>(
-              this->Parts.Context, Entry->node(), Address,
-              Entry->data_centre() == this->Parts.DataCentre
-                  ? internal::NearProbeInterval
-                  : internal::FarProbeInterval,
-              this->OnConfiguration);
+      Next->Link = std::make_shared<PeerLink>(
+          this->Parts.Context, Entry->node(), Address,
+          Entry->data_centre() == this->Parts.DataCentre
+              ? internal::NearProbeInterval
+              : internal::FarProbeInterval,
+          this->OnConfiguration);
       Next->Link->start();
     }
     this->Targets[Entry->node()] = std::move(Next);
@@ -244,8 +251,8 @@
       continue;
     const proto::UpstreamEntry &Upstream = To->Entry.upstream();
     Oldest &Known = ByService[Upstream.service()];
-    Known.BaseLives |= Upstream.version() ==
-                       this->stateOf(Upstream.service()).BaseVersion;
+    Known.BaseLives |=
+        Upstream.version() == this->stateOf(Upstream.service()).BaseVersion;
     if (Upstream.started_unix_ms() < Known.Started) {
       Known.Started = Upstream.started_unix_ms();
       Known.Version = Upstream.version();
@@ -260,9 +267,15 @@
 CallRouter::serve(std::shared_ptr<CallerRequest> Request) {
   auto Asked = std::make_shared<Call>();
   Asked->Request = std::move(Request);
-  if (std::optional<HttpResponse> Refusal = this->admit(*Asked))
-    co_return std::move(*Refusal);
-  co_return co_await this->forward(std::move(Asked));
+  std::optional<HttpResponse> Answer = this->admit(*Asked);
+  if (!Answer)
+    Answer = co_await this->forward(Asked);
+  if (Asked->Request->CallerLeft)
+    Asked->End = RequestEnd::CallerLeft;
+  this->Parts.Counts.noteRequest(
+      Asked->End,
+      std::chrono::duration_cast<Micros>(monoNow() - Asked->Request->Arrival));
+  co_return std::move(*Answer);
 }
 
 std::optional<HttpResponse> CallRouter::admit(Call &Asked) {
@@ -274,9 +287,8 @@
     return this->refuse(Asked, internal::StatusUnavailable,
                         "no configuration is known yet",
                         internal::UnknownRoomPause);
-  Asked.Route = Asked.Routes->find(
-      std::string_view(Message[http::field::host]),
-      std::string_view(Message.target()));
+  Asked.Route = Asked.Routes->find(std::string_view(Message[http::field::host]),
+                                   std::string_view(Message.target()));
   if (Asked.Route == nullptr)
     return this->refuse(Asked, 404, "no route matches host and path", {});
   if (Asked.RequestId.empty())
@@ -298,12 +310,13 @@
   Full = std::max(Full, Asked.Patience);
   // What an upstream calls while it runs another call also has less time left.
   const bool IsNested = this->Parts.OwnGate.runsUntil(Now + Asked.Patience);
-  const Millis Elapsed = IsNested ? Millis{0} : std::max(
-      std::chrono::duration_cast<Millis>(Full * internal::LeastPatience) -
-          Asked.Patience,
-      Millis{0});
-  Asked.Objective =
-      Now + Millis(Asked.Route->latency_objective_ms()) - Elapsed;
+  const Millis Elapsed = IsNested
+                             ? Millis{0}
+                             : std::max(std::chrono::duration_cast<Millis>(
+                                            Full * internal::LeastPatience) -
+                                            Asked.Patience,
+                                        Millis{0});
+  Asked.Objective = Now + Millis(Asked.Route->latency_objective_ms()) - Elapsed;
   const auto Known = this->RouteWork.find(Asked.Route->name());
   Asked.Work = Known == this->RouteWork.end() ? internal::AssumedWork
                                               : Known->second.mean();
@@ -323,7 +336,8 @@
   return std::nullopt;
 }
 
-std::vector<std::shared_ptr<CallRouter::Target>> CallRouter::candidates(Call &Asked) {
+std::vector<std::shared_ptr<CallRouter::Target>>
+CallRouter::candidates(Call &Asked) {
   std::vector<std::shared_ptr<Target>> Result;
   // Without a word about its version an upstream takes calls only if the
   // others of its service have the same: the order to bring a new version in
@@ -344,7 +358,7 @@
 }
 
 std::shared_ptr<CallRouter::Target> CallRouter::nextTarget(Call &Asked,
-                                                   Micros *MaxWait) {
+                                                           Micros *MaxWait) {
   const MonoTime Now = monoNow();
   std::vector<std::shared_ptr<Target>> All = this->candidates(Asked);
   if (All.empty() && Asked.Versions.Only) {
@@ -393,7 +407,7 @@
 }
 
 std::shared_ptr<CallRouter::Target> CallRouter::bestKnown(Call &Asked,
-                                                  Micros *MaxWait) {
+                                                          Micros *MaxWait) {
   if (Asked.JoinedQueue)
     return nullptr;
   Asked.JoinedQueue = true;
@@ -407,14 +421,14 @@
     Shortest = Known->second;
   }
   // The ingress decides whether waiting pays.
-  *MaxWait = std::max(
-      std::chrono::duration_cast<Micros>(Asked.Deadline - monoNow()),
-      Micros{0});
+  *MaxWait =
+      std::max(std::chrono::duration_cast<Micros>(Asked.Deadline - monoNow()),
+               Micros{0});
   return Best;
 }
 
 proto::CallRequest CallRouter::callRequest(const Call &Asked, const Target &To,
-                                       Micros MaxWait) const {
+                                           Micros MaxWait) const {
   const HttpRequest &Message = Asked.Request->Message;
   const MonoTime Now = monoNow();
   proto::CallRequest Result;
@@ -451,7 +465,7 @@
 }
 
 asio::awaitable<bool> CallRouter::offer(const std::shared_ptr<Call> &Asked,
-                                    Target &To, Micros MaxWait) {
+                                        Target &To, Micros MaxWait) {
   const std::uint64_t Attempt = ++Asked->Attempt;
   Asked->Reply.reset();
   auto Handler = [Asked, Attempt](proto::CallReply Reply) {
@@ -475,6 +489,8 @@
   To.View.noteEnded();
   if (Asked->Reply)
     co_return true;
+  this->Parts.Counts.noteOffer(To.View.isLocal(), OfferEnd::GivenUp);
+  Asked->LastReason = "no reply from the node in time";
   ++Asked->Attempt;
   if (Link)
     Link->cancel(Ticket);
@@ -485,7 +501,7 @@
 }
 
 void CallRouter::noteReply(Call &Asked, Target &To,
-                       const proto::CallReply &Reply) {
+                           const proto::CallReply &Reply) {
   const MonoTime Now = monoNow();
   const std::string &Node = To.Entry.node();
   if (Reply.has_load()) {
@@ -495,6 +511,11 @@
     To.View.noteSharedFailures(Reply.load().failed_permille() / 1000.0);
   }
   Asked.LastReason = Reply.reason();
+  this->Parts.Counts.noteOffer(
+      To.View.isLocal(), Reply.outcome() == proto::ANSWERED ? OfferEnd::Answered
+                         : Reply.outcome() == proto::UNKNOWN ? OfferEnd::Lost
+                         : Reply.reason() == BusyReason      ? OfferEnd::Busy
+                                                        : OfferEnd::NotRun);
   if (Reply.arrived()) {
     ++Asked.Arrived;
     const bool Failed =
@@ -519,11 +540,11 @@
   default:
     break;
   }
-  Asked.RetryAfter = Asked.RetryAfter == Millis{0}
-                         ? Millis(Reply.retry_after_ms())
-                         : std::min(Asked.RetryAfter,
-                                    std::max(Millis(Reply.retry_after_ms()),
-                                             Millis{1}));
+  Asked.RetryAfter =
+      Asked.RetryAfter == Millis{0}
+          ? Millis(Reply.retry_after_ms())
+          : std::min(Asked.RetryAfter,
+                     std::max(Millis(Reply.retry_after_ms()), Millis{1}));
   if (Reply.retry_after_ms() == 0) {
     Asked.Excluded.insert(Node);
     return;
@@ -550,7 +571,16 @@
     return false;
   if (this->candidates(Asked).empty())
     return false;
-  if (!this->stateOf(Asked.Service).Budget.spend(this->Targets.size(), Now))
+  const bool Allowed =
+      this->stateOf(Asked.Service).Budget.spend(this->Targets.size(), Now);
+  this->Parts.Counts.noteRepeat(Allowed);
+  logLine(LogLevel::Info, Allowed ? "call is repeated" : "no budget to repeat",
+          {{"request", Asked.RequestId},
+           {"service", Asked.Service},
+           {"reason", Reply.reason()},
+           {"status", std::to_string(Reply.status())},
+           {"arrivals", std::to_string(Asked.Arrived)}});
+  if (!Allowed)
     return false;
   // The repeat may join any queue again.
   Asked.JoinedQueue = false;
@@ -567,8 +597,10 @@
       break;
     const proto::CallReply Reply = std::move(*Asked->Reply);
     this->noteReply(*Asked, *To, Reply);
-    if (Reply.outcome() == proto::ANSWERED && Reply.status() < 500)
+    if (Reply.outcome() == proto::ANSWERED && Reply.status() < 500) {
+      this->logAnswered(*Asked, Reply, *To);
       co_return this->answer(Reply);
+    }
     if (!this->mayRepeat(*Asked, Reply))
       break;
   }
@@ -584,17 +616,45 @@
   return Result;
 }
 
+void CallRouter::logAnswered(const Call &Asked, const proto::CallReply &Reply,
+                             const Target &From) {
+  const MonoTime Now = monoNow();
+  if (Asked.Arrived < 2 && Now < Asked.Objective &&
+      !this->PlainLines.allow(Now))
+    return;
+  logLine(LogLevel::Info, "call answered",
+          {{"request", Asked.RequestId},
+           {"route", Asked.Route->name()},
+           {"service", Asked.Service},
+           {"member", From.Entry.node()},
+           {"instance", From.Entry.upstream().instance()},
+           {"status", std::to_string(Reply.status())},
+           {"arrivals", std::to_string(Asked.Arrived)},
+           {"busy_nodes", std::to_string(Asked.Busy.size())},
+           {"late", Now < Asked.Objective ? "no" : "yes"},
+           {"taken_ms", std::to_string(std::chrono::duration_cast<Millis>(
+                                           Now - Asked.Request->Arrival)
+                                           .count())}});
+}
+
 HttpResponse CallRouter::finalFailure(Call &Asked) {
-  if (Asked.Failure)
+  if (Asked.Failure) {
+    Asked.End = RequestEnd::UpstreamFailed;
+    logLine(LogLevel::Info, "upstream's failure passed on",
+            {{"request", Asked.RequestId},
+             {"route", Asked.Route->name()},
+             {"service", Asked.Service},
+             {"status", std::to_string(Asked.Failure->status())},
+             {"arrivals", std::to_string(Asked.Arrived)}});
     return this->answer(*Asked.Failure);
+  }
   if (!Asked.MayHaveRun) {
-    const Millis After =
-        Asked.RetryAfter > Millis{0} ? Asked.RetryAfter
-                                     : internal::UnknownRoomPause;
+    const Millis After = Asked.RetryAfter > Millis{0}
+                             ? Asked.RetryAfter
+                             : internal::UnknownRoomPause;
     return this->refuse(Asked, internal::StatusUnavailable,
-                        Asked.LastReason.empty()
-                            ? "no upstream can be reached"
-                            : Asked.LastReason,
+                        Asked.LastReason.empty() ? "no upstream can be reached"
+                                                 : Asked.LastReason,
                         After);
   }
   if (monoNow() >= Asked.Deadline)
@@ -603,8 +663,13 @@
   return this->refuse(Asked, internal::StatusBadGateway, Asked.LastReason, {});
 }
 
-HttpResponse CallRouter::refuse(const Call &Asked, unsigned Status,
-                            const std::string &Reason, Millis RetryAfter) {
+HttpResponse CallRouter::refuse(Call &Asked, unsigned Status,
+                                const std::string &Reason, Millis RetryAfter) {
+  Asked.End = Status == internal::StatusUnavailable      ? RequestEnd::Rejected
+              : Status == internal::StatusBadGateway     ? RequestEnd::Unknown
+              : Status == internal::StatusGatewayTimeout ? RequestEnd::TimedOut
+              : Status == 404                            ? RequestEnd::NoRoute
+                              : RequestEnd::Malformed;
   HttpResponse Result;
   Result.result(Status);
   Result.set(http::field::content_type, "text/plain");
--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -2,6 +2,7 @@
 #ifndef PERSIMMONQUAY_DAEMON_CALL_ROUTER_H
 #define PERSIMMONQUAY_DAEMON_CALL_ROUTER_H
 
+#include "persimmonquay/base/line_writer.h"
 #include "persimmonquay/base/time.h"
 #include "persimmonquay/daemon/asio.h"
 #include "persimmonquay/daemon/header_names.h"
@@ -21,6 +22,8 @@
 
 struct CallerRequest;
 class Directory;
+class Metrics;
+enum class RequestEnd;
 class UpstreamGate;
 class PeerLink;
 class RolloutBook;
@@ -37,6 +40,7 @@
   RepeatLimits Repeats;
   UpstreamGate &OwnGate;
   RolloutBook &Rollouts;
+  Metrics &Counts;
 };
 
 /// Finds the route of each call, chooses upstreams, offers the call to the
@@ -94,9 +98,11 @@
   bool mayRepeat(Call &Asked, const proto::CallReply &Reply);
   void noteReply(Call &Asked, Target &To, const proto::CallReply &Reply);
   HttpResponse answer(const proto::CallReply &Reply) const;
-  HttpResponse refuse(const Call &Asked, unsigned Status,
-                      const std::string &Reason, Millis RetryAfter);
+  HttpResponse refuse(Call &Asked, unsigned Status, const std::string &Reason,
+                      Millis RetryAfter);
   HttpResponse finalFailure(Call &Asked);
+  void logAnswered(const Call &Asked, const proto::CallReply &Reply,
+                   const Target &From);
   ServiceState &stateOf(const std::string &Service);
   void updateBaseVersions();
   double random();
@@ -111,6 +117,7 @@
   /// Longest time that callers of a route have been seen to wait.
   std::map<std::string, Millis> FullPatience;
   std::mt19937_64 Random;
+  RateLimit PlainLines;
 };
 
 } // namespace persimmonquay
--- a/persimmonquay/daemon/caller_server.cc
+++ b/persimmonquay/daemon/caller_server.cc
@@ -57,9 +57,9 @@
         break;
       ++this->Server->UnderWay;
       HttpResponse Answer = co_await this->handle(Request);
-      const bool Open =
-          !Request->CallerLeft &&
-          co_await this->write(std::move(Answer), Request->Message.keep_alive());
+      const bool Open = !Request->CallerLeft &&
+                        co_await this->write(std::move(Answer),
+                                             Request->Message.keep_alive());
       --this->Server->UnderWay;
       if (!Open)
         break;
@@ -75,8 +75,7 @@
     while (this->Buffer.size() == 0) {
       const Millis Idle = this->Server->ClosingIdle.value_or(
           this->Server->Limits().IdleTimeout);
-      const auto Waited =
-          std::chrono::duration_cast<Millis>(monoNow() - Start);
+      const auto Waited = std::chrono::duration_cast<Millis>(monoNow() - Start);
       if (this->Server->Stopped || Waited >= Idle)
         co_return peekConnection(this->Socket) == PeerState::HasData;
       this->cancelAfter(this->Server->ClosingIdle
@@ -166,7 +165,7 @@
     Answer.prepare_payload();
     const auto [Error, Size] =
         co_await http::async_write(this->Socket, Answer, NoThrow);
-    co_return !Error &&Keep;
+    co_return !Error && Keep;
   }
 
   void cancelAfter(Millis Time) {
@@ -194,7 +193,7 @@
 };
 
 CallerServer::CallerServer(asio::io_context &Loop, LimitsSource Bounds,
-                       Handler Function)
+                           Handler Function)
     : Context(Loop), Limits(std::move(Bounds)), Handle(std::move(Function)) {}
 
 void CallerServer::start(Tcp::acceptor Listener) {
--- a/persimmonquay/daemon/caller_server.h
+++ b/persimmonquay/daemon/caller_server.h
@@ -38,8 +38,8 @@
 ///   Server->start(std::move(Acceptor));
 class CallerServer : public std::enable_shared_from_this<CallerServer> {
 public:
-  using Handler =
-      std::function<asio::awaitable<HttpResponse>(std::shared_ptr<CallerRequest>)>;
+  using Handler = std::function<asio::awaitable<HttpResponse>(
+      std::shared_ptr<CallerRequest>)>;
   using LimitsSource = std::function<HttpLimits()>;
 
   CallerServer(asio::io_context &Loop, LimitsSource Bounds, Handler Function);
--- a/persimmonquay/daemon/frame_channel.cc
+++ b/persimmonquay/daemon/frame_channel.cc
@@ -50,16 +50,16 @@
   this->WriteUnderWay = true;
   this->Writing = std::move(this->Queued);
   this->Queued.clear();
-  asio::async_write(this->Socket, asio::buffer(this->Writing),
-                    [Self = this->shared_from_this()](const ErrorCode &Error,
-                                                      std::size_t) {
-                      Self->WriteUnderWay = false;
-                      Self->Writing.clear();
-                      if (Error)
-                        Self->close();
-                      else if (!Self->Queued.empty())
-                        Self->startWrite();
-                    });
+  asio::async_write(
+      this->Socket, asio::buffer(this->Writing),
+      [Self = this->shared_from_this()](const ErrorCode &Error, std::size_t) {
+        Self->WriteUnderWay = false;
+        Self->Writing.clear();
+        if (Error)
+          Self->close();
+        else if (!Self->Queued.empty())
+          Self->startWrite();
+      });
 }
 
 asio::awaitable<std::optional<proto::LinkFrame>> FrameChannel::receive() {
@@ -75,9 +75,8 @@
       }
       if (Rest.size() >= internal::LengthBytes + Length) {
         proto::LinkFrame Frame;
-        const bool Parsed =
-            Frame.ParseFromArray(Rest.data() + internal::LengthBytes,
-                                 static_cast<int>(Length));
+        const bool Parsed = Frame.ParseFromArray(
+            Rest.data() + internal::LengthBytes, static_cast<int>(Length));
         this->Consumed += internal::LengthBytes + Length;
         if (Parsed)
           co_return Frame;
--- a/persimmonquay/daemon/gossip.cc
+++ b/persimmonquay/daemon/gossip.cc
@@ -4,8 +4,8 @@
 #include "persimmonquay/base/logging.h"
 #include "persimmonquay/fleet/directory.h"
 #include "persimmonquay/rollout/rollout_book.h"
-#include <boost/asio/buffer.hpp>
 #include <algorithm>
+#include <boost/asio/buffer.hpp>
 #include <map>
 #include <set>
 #include <utility>
@@ -247,8 +247,7 @@
 void Gossip::send(const proto::GossipMessage &Message,
                   const proto::NodeEntry &To) {
   ErrorCode Error;
-  const asio::ip::address Address =
-      asio::ip::make_address(To.address(), Error);
+  const asio::ip::address Address = asio::ip::make_address(To.address(), Error);
   const std::string Bytes = Message.SerializeAsString();
   if (To.data_centre() != this->Nodes.own().data_centre())
     this->FarBytes += Bytes.size();
--- a/persimmonquay/daemon/gossip.h
+++ b/persimmonquay/daemon/gossip.h
@@ -20,9 +20,9 @@
 /// Spreads entries of nodes and the progress of rollouts. What changes is sent
 /// at once to every node of the own data centre and to one of each other, which
 /// passes it on there: bytes between data centres are dear. What gets lost is
-/// found by comparing hashes with a random node each second: two nodes that differ exchange the hashes
-/// of their entries, and then only the entries that one of them lacks. Lives
-/// on one thread.
+/// found by comparing hashes with a random node each second: two nodes that
+/// differ exchange the hashes of their entries, and then only the entries that
+/// one of them lacks. Lives on one thread.
 class Gossip {
 public:
   struct Events {
--- a/persimmonquay/daemon/link_server.cc
+++ b/persimmonquay/daemon/link_server.cc
@@ -76,12 +76,12 @@
     if (Frame->has_call()) {
       const std::uint64_t Id = Frame->call().id();
       (*Tickets)[Id] = 0;
-      const std::uint64_t Ticket = this->Upstream.submit(
-          std::move(*Frame->mutable_call()),
-          [Target, Tickets, Id](proto::CallReply Reply) {
-            Tickets->erase(Id);
-            internal::sendReply(Target, std::move(Reply));
-          });
+      const std::uint64_t Ticket =
+          this->Upstream.submit(std::move(*Frame->mutable_call()),
+                                [Target, Tickets, Id](proto::CallReply Reply) {
+                                  Tickets->erase(Id);
+                                  internal::sendReply(Target, std::move(Reply));
+                                });
       if (const auto Found = Tickets->find(Id); Found != Tickets->end())
         Found->second = Ticket;
     } else if (Frame->has_cancel()) {
--- a/persimmonquay/daemon/link_server.h
+++ b/persimmonquay/daemon/link_server.h
@@ -24,7 +24,8 @@
   using ConfigurationSource =
       std::function<std::optional<proto::LinkFrame>(std::uint64_t)>;
 
-  LinkServer(asio::io_context &Loop, UpstreamGate &Gate, ConfigurationSource Source);
+  LinkServer(asio::io_context &Loop, UpstreamGate &Gate,
+             ConfigurationSource Source);
 
   void start(Tcp::acceptor Listener);
   void stop();
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -34,6 +34,10 @@
 
 constexpr Millis ShutdownCheckInterval{50};
 
+/// Interval at which the lateness of the event loop is measured and log lines
+/// are written.
+constexpr Millis LoopMeasureInterval{250};
+
 /// Interval at which the traffic with other data centres is logged.
 constexpr Millis TrafficLogInterval{10000};
 
@@ -104,7 +108,7 @@
       CallerAddress(Parts.CallerAddress), LinkAddress(Parts.LinkAddress),
       Nodes(Parts.Settings.node(),
             static_cast<std::uint64_t>(unixMillis(wallNow()))),
-      Gate(Parts.Context, Parts.Names, Parts.UpstreamAddress),
+      Gate(Parts.Context, Parts.Names, Parts.UpstreamAddress, this->Counts),
       Outbound(
           EgressParts{
               Parts.Context, Parts.Names, Parts.Settings.service(),
@@ -113,7 +117,7 @@
                            Parts.Settings.retry_budget_extra(),
                            Millis(static_cast<std::int64_t>(
                                Parts.Settings.retry_budget_window_s() * 1000))},
-              this->Gate, this->Rollouts},
+              this->Gate, this->Rollouts, this->Counts},
           [this](proto::LinkFrame Frame) {
             this->takeConfiguration(std::move(Frame));
           }),
@@ -157,8 +161,8 @@
       listenOn(this->Context, this->LinkAddress);
   if (!LinkListener.ok())
     return LinkListener.status();
-  if (!this->Messenger.start(Udp::endpoint(this->LinkAddress.address(),
-                                           this->LinkAddress.port())))
+  if (!this->Messenger.start(
+          Udp::endpoint(this->LinkAddress.address(), this->LinkAddress.port())))
     return absl::UnavailableError("can't open the link port for datagrams");
   this->Callers = std::make_shared<CallerServer>(
       this->Context, [this] { return this->callerLimits(); },
@@ -166,14 +170,15 @@
         return this->Outbound.serve(std::move(Request));
       });
   this->Links = std::make_shared<LinkServer>(
-      this->Context, this->Gate, [this](std::uint64_t Have) {
-        return this->configurationSince(Have);
-      });
+      this->Context, this->Gate,
+      [this](std::uint64_t Have) { return this->configurationSince(Have); });
   this->Callers->start(*std::move(CallerListener));
   this->Links->start(*std::move(LinkListener));
   this->Driver.start();
   asio::co_spawn(
       this->Context, [this] { return this->watchUpstream(); }, asio::detached);
+  asio::co_spawn(
+      this->Context, [this] { return this->measureLoop(); }, asio::detached);
   return absl::OkStatus();
 }
 
@@ -198,8 +203,8 @@
   if (Current && Current->version() >= Next.version())
     return;
   const std::uint64_t Version = Next.version();
-  this->LongestIdleTimeout = std::max(
-      this->LongestIdleTimeout, Millis(Next.limits().idle_timeout_ms()));
+  this->LongestIdleTimeout = std::max(this->LongestIdleTimeout,
+                                      Millis(Next.limits().idle_timeout_ms()));
   this->Outbound.setRoutes(std::make_shared<const RouteTable>(std::move(Next)));
   this->History.push_back(this->Outbound.routes());
   const std::size_t Kept = this->Following ? internal::KeptConfigurations : 1;
@@ -211,6 +216,7 @@
   if (this->Following)
     this->Messenger.announceConfiguration();
   setLoggedConfigVersion(Version);
+  this->AppliedAt = monoNow();
   logLine(LogLevel::Info, "configuration applied",
           {{"version", std::to_string(Version)}});
 }
@@ -222,8 +228,8 @@
   }
   if (!this->Outbound.routes())
     return;
-  absl::StatusOr<proto::MeshConfiguration> Next = applyDelta(
-      this->Outbound.routes()->configuration(), Frame.delta());
+  absl::StatusOr<proto::MeshConfiguration> Next =
+      applyDelta(this->Outbound.routes()->configuration(), Frame.delta());
   if (Next.ok())
     this->applyConfiguration(*std::move(Next));
   else
@@ -290,8 +296,8 @@
       continue;
     ++Better;
     const std::shared_ptr<PeerLink> Link = this->Outbound.linkTo(Entry->node());
-    Following += this->Messenger.followsStore(Entry->node()) && Link &&
-                 Link->isUp();
+    Following +=
+        this->Messenger.followsStore(Entry->node()) && Link && Link->isUp();
   }
   // Right after the start others may follow and not have said so yet.
   if (Better >= internal::Followers &&
@@ -304,8 +310,9 @@
   if (this->Following == Follows)
     return;
   this->Following = Follows;
-  logLine(LogLevel::Info, Follows ? "following the operator's records"
-                                  : "no longer following the operator's records");
+  logLine(LogLevel::Info, Follows
+                              ? "following the operator's records"
+                              : "no longer following the operator's records");
   this->Messenger.setFollowsStore(Follows);
   this->Messenger.announceConfiguration();
 }
@@ -347,7 +354,7 @@
           {{"instance", Upstream ? Upstream->instance() : ""},
            {"service", Upstream ? Upstream->service() : ""},
            {"version", Upstream ? Upstream->version() : ""},
-           {"state", !Upstream             ? "gone"
+           {"state", !Upstream              ? "gone"
                      : Upstream->draining() ? "draining"
                                             : "ready"}});
   this->Gate.setUpstream(Upstream);
@@ -368,9 +375,9 @@
 }
 
 asio::awaitable<void> MeshNode::watchUpstream() {
-  const Millis Limit(static_cast<std::int64_t>(
-      this->Settings.registration_interval_s() * 1000 *
-      internal::MissingHeartbeats));
+  const Millis Limit(
+      static_cast<std::int64_t>(this->Settings.registration_interval_s() *
+                                1000 * internal::MissingHeartbeats));
   while (!this->Stopping) {
     this->WatchTimer.expires_after(internal::WatchInterval);
     co_await this->WatchTimer.async_wait(NoThrow);
@@ -381,6 +388,52 @@
   }
 }
 
+asio::awaitable<void> MeshNode::measureLoop() {
+  asio::steady_timer Timer(this->Context);
+  while (!this->Stopping) {
+    Timer.expires_after(internal::LoopMeasureInterval);
+    co_await Timer.async_wait(NoThrow);
+    this->Counts.noteLoopLag(
+        std::chrono::duration_cast<Micros>(monoNow() - Timer.expiry()));
+    flushLogs();
+  }
+}
+
+std::string MeshNode::metricsText() {
+  const proto::LoadReport Load = this->Gate.load();
+  Metrics &Values = this->Counts;
+  Values.setGauge("pq_gate_running", "Calls at the own upstream",
+                  Load.running());
+  Values.setGauge("pq_gate_waiting", "Calls that wait for the own upstream",
+                  Load.waiting());
+  Values.setGauge("pq_gate_slots", "Slots of the own upstream", Load.slots());
+  Values.setGauge("pq_configuration_version", "Configuration in force",
+                  this->Outbound.routes()
+                      ? static_cast<double>(this->Outbound.routes()->version())
+                      : 0);
+  Values.setGauge(
+      "pq_configuration_age_seconds",
+      "Time since the configuration came into force",
+      std::chrono::duration<double>(monoNow() - this->AppliedAt).count());
+  Values.setGauge("pq_nodes", "Nodes known, this one included",
+                  static_cast<double>(this->Nodes.entries().size()));
+  Values.setGauge("pq_following", "Whether this node follows the store",
+                  this->Following ? 1 : 0);
+  Values.setGauge("pq_rollouts", "Orders to bring in a version that are known",
+                  static_cast<double>(this->Rollouts.all().size()));
+  const LinkTraffic Far = this->Outbound.farTraffic();
+  Values.setGauge(
+      "pq_far_call_bytes", "Bytes of calls between data centres",
+      static_cast<double>(Far.Calls + Far.Replies + Far.Rejections));
+  Values.setGauge("pq_far_control_bytes", "Other bytes between data centres",
+                  static_cast<double>(Far.Configurations + Far.Other +
+                                      this->Messenger.farBytes()));
+  Values.setGauge("pq_log_lines_dropped",
+                  "Log lines dropped since their reader stalled",
+                  static_cast<double>(droppedLogLines()));
+  return Values.text();
+}
+
 void MeshNode::logTraffic() {
   this->TrafficLoggedAt = monoNow();
   const LinkTraffic Far = this->Outbound.farTraffic();
@@ -413,10 +466,10 @@
 
 asio::awaitable<void> MeshNode::shutDown(std::function<void()> Done) {
   const MonoTime Start = monoNow();
-  const MonoTime End =
-      Start +
-      Millis(static_cast<std::int64_t>(this->Settings.grace_period_s() * 1000)) -
-      internal::EndMargin;
+  const MonoTime End = Start +
+                       Millis(static_cast<std::int64_t>(
+                           this->Settings.grace_period_s() * 1000)) -
+                       internal::EndMargin;
   asio::steady_timer Timer(this->Context);
   Timer.expires_at(std::min(Start + internal::CallersNotice, End));
   co_await Timer.async_wait(NoThrow);
--- a/persimmonquay/daemon/mesh_node.h
+++ b/persimmonquay/daemon/mesh_node.h
@@ -5,11 +5,12 @@
 #include "persimmonquay/base/time.h"
 #include "persimmonquay/daemon/asio.h"
 #include "persimmonquay/daemon/call_router.h"
+#include "persimmonquay/daemon/caller_server.h"
 #include "persimmonquay/daemon/gossip.h"
 #include "persimmonquay/daemon/header_names.h"
-#include "persimmonquay/daemon/caller_server.h"
-#include "persimmonquay/daemon/upstream_gate.h"
+#include "persimmonquay/daemon/metrics.h"
 #include "persimmonquay/daemon/rollout_driver.h"
+#include "persimmonquay/daemon/upstream_gate.h"
 #include "persimmonquay/fleet/directory.h"
 #include "persimmonquay/fleet/upstream_registry.h"
 #include "persimmonquay/rollout/rollout_book.h"
@@ -91,7 +92,9 @@
   /// nodes of its data centre do.
   bool shouldFollow() const;
   const proto::NodeEntry &ownEntry() const { return this->Nodes.own(); }
-  std::size_t knownNodes() const { return this->Nodes.entries().size(); }
+  /// Returns the metrics as text.
+  std::string metricsText();
+  Metrics &metrics() { return this->Counts; }
 
 private:
   explicit MeshNode(const Builder &Parts);
@@ -103,6 +106,7 @@
   std::optional<proto::LinkFrame> configurationSince(std::uint64_t Have);
   void configurationTold(const std::string &Node, std::uint64_t Version);
   HttpLimits callerLimits() const;
+  asio::awaitable<void> measureLoop();
   asio::awaitable<void> watchUpstream();
   void logTraffic();
   asio::awaitable<void> shutDown(std::function<void()> Done);
@@ -111,6 +115,7 @@
   proto::SidecarSettings Settings;
   Tcp::endpoint CallerAddress;
   Tcp::endpoint LinkAddress;
+  Metrics Counts;
   Directory Nodes;
   UpstreamRegistry Registry;
   RolloutBook Rollouts;
@@ -134,6 +139,7 @@
   std::uint64_t AskedVersion = 0;
   MonoTime AskedAt;
   MonoTime StartedAt;
+  MonoTime AppliedAt;
   MonoTime TrafficLoggedAt;
   std::optional<MonoTime> BehindSince;
 };
--- /dev/null
+++ b/persimmonquay/daemon/metrics.h
@@ -0,0 +1,80 @@
+// Counters and histograms of a node, served as text.
+#ifndef PERSIMMONQUAY_DAEMON_METRICS_H
+#define PERSIMMONQUAY_DAEMON_METRICS_H
+
+#include "persimmonquay/base/time.h"
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace prometheus {
+class Counter;
+class Gauge;
+class Histogram;
+class Registry;
+} // namespace prometheus
+
+namespace persimmonquay {
+
+/// How a caller's request ended.
+enum class RequestEnd {
+  Answered,
+  UpstreamFailed,
+  Rejected,
+  NoRoute,
+  Malformed,
+  Unknown,
+  TimedOut,
+  CallerLeft,
+};
+
+/// What an offer to an upstream came to.
+enum class OfferEnd { Answered, Busy, NotRun, Lost, GivenUp };
+
+/// What the gate did with a call.
+enum class GateAction { Started, Waited, Rejected, Cancelled };
+
+/// Names are listed in docs/OPERATIONS.md. Cheap enough for every call.
+/// Thread-safe.
+class Metrics {
+public:
+  Metrics();
+  Metrics(const Metrics &) = delete;
+  Metrics &operator=(const Metrics &) = delete;
+  ~Metrics();
+
+  // Commands.
+
+  void noteRequest(RequestEnd End, std::chrono::microseconds Taken);
+  void noteOffer(bool Near, OfferEnd End);
+  void noteRepeat(bool Allowed);
+  void noteGate(GateAction Action);
+  void noteGateWait(std::chrono::microseconds Waited);
+  void noteStoreCall(bool Served);
+  void noteLoopLag(std::chrono::microseconds Lag);
+
+  /// Sets a value that is read when metrics are asked for; `Name` is created
+  /// on first use.
+  void setGauge(const std::string &Name, const std::string &Help, double Value);
+
+  // Queries.
+
+  /// Returns all metrics in the text format of Prometheus.
+  std::string text() const;
+
+private:
+  std::unique_ptr<prometheus::Registry> Registry;
+  std::array<prometheus::Counter *, 8> Requests{};
+  std::array<std::array<prometheus::Counter *, 5>, 2> Offers{};
+  std::array<prometheus::Counter *, 2> Repeats{};
+  std::array<prometheus::Counter *, 4> Gate{};
+  std::array<prometheus::Counter *, 2> StoreCalls{};
+  prometheus::Histogram *RequestSeconds;
+  prometheus::Histogram *GateWaitSeconds;
+  prometheus::Histogram *LoopLagSeconds;
+};
+
+} // namespace persimmonquay
+
+#endif // PERSIMMONQUAY_DAEMON_METRICS_H
--- a/persimmonquay/daemon/peer_link.cc
+++ b/persimmonquay/daemon/peer_link.cc
@@ -31,7 +31,8 @@
                    Tcp::endpoint PeerAddress, Millis QuietProbes,
                    ConfigurationHandler Handler)
     : Context(Loop), Node(std::move(NodeName)), Address(std::move(PeerAddress)),
-      QuietInterval(QuietProbes), OnConfiguration(std::move(Handler)), RetryTimer(Loop), ProbeTimer(Loop) {}
+      QuietInterval(QuietProbes), OnConfiguration(std::move(Handler)),
+      RetryTimer(Loop), ProbeTimer(Loop) {}
 
 void PeerLink::start() {
   asio::co_spawn(
@@ -204,7 +205,8 @@
     const Millis Wanted = this->Pending.empty() ? this->QuietInterval
                                                 : internal::BusyProbeInterval;
     // Any frame shows that the peer is there.
-    if (!Answered || Now - std::max(LastProbe, Current->lastReceived()) < Wanted)
+    if (!Answered ||
+        Now - std::max(LastProbe, Current->lastReceived()) < Wanted)
       continue;
     LastProbe = Now;
     this->ProbeSentAt = Now;
--- a/persimmonquay/daemon/rollout_driver.cc
+++ b/persimmonquay/daemon/rollout_driver.cc
@@ -113,8 +113,7 @@
   const MonoTime Now = monoNow();
   const proto::RolloutProgress *Before = this->Rollouts.find(
       Progress.order().service(), Progress.order().number());
-  const std::uint32_t Share =
-      Before == nullptr ? 0 : Before->share_permille();
+  const std::uint32_t Share = Before == nullptr ? 0 : Before->share_permille();
   const proto::RolloutState State =
       Before == nullptr ? proto::RUNNING : Before->state();
   if (!this->Rollouts.merge(Progress))
@@ -205,8 +204,8 @@
 bool RolloutDriver::isDriver(const Order &Known) const {
   const std::string Duty = absl::StrCat("rollout/", Known.Ordered.number());
   const std::string &Own = this->Nodes.own().node();
-  const proto::RolloutProgress *Progress = this->Rollouts.find(
-      Known.Ordered.service(), Known.Ordered.number());
+  const proto::RolloutProgress *Progress =
+      this->Rollouts.find(Known.Ordered.service(), Known.Ordered.number());
   if (Progress != nullptr && Progress->driver() == Own)
     return true;
   std::size_t Before = 0;
@@ -221,14 +220,14 @@
 }
 
 void RolloutDriver::consider(Order &Known) {
-  const proto::RolloutProgress *Progress = this->Rollouts.find(
-      Known.Ordered.service(), Known.Ordered.number());
+  const proto::RolloutProgress *Progress =
+      this->Rollouts.find(Known.Ordered.service(), Known.Ordered.number());
   if (Progress == nullptr || Progress->stored() || !this->isDriver(Known))
     return;
   if (Progress->state() == proto::RUNNING) {
     this->decide(Known);
-    Progress = this->Rollouts.find(Known.Ordered.service(),
-                                   Known.Ordered.number());
+    Progress =
+        this->Rollouts.find(Known.Ordered.service(), Known.Ordered.number());
   }
   if (Known.Written != Progress->state() && !Known.Writing) {
     Known.Writing = true;
@@ -242,8 +241,8 @@
 RolloutSituation RolloutDriver::situation(const Order &Known) const {
   RolloutSituation Result;
   const MonoTime Now = monoNow();
-  const proto::RolloutProgress *Progress = this->Rollouts.find(
-      Known.Ordered.service(), Known.Ordered.number());
+  const proto::RolloutProgress *Progress =
+      this->Rollouts.find(Known.Ordered.service(), Known.Ordered.number());
   Result.Elapsed = std::chrono::duration_cast<Millis>(Now - Known.Begin);
   Result.Duration = Millis(Known.Ordered.duration_ms());
   Result.SharePermille = Progress->share_permille();
@@ -267,8 +266,8 @@
   Known.Evidence->closeSpan();
   const RolloutDecision Decision = decideRollout(
       this->Limits, this->situation(Known), Known.Evidence->byRoute());
-  proto::RolloutProgress Next = *this->Rollouts.find(
-      Known.Ordered.service(), Known.Ordered.number());
+  proto::RolloutProgress Next =
+      *this->Rollouts.find(Known.Ordered.service(), Known.Ordered.number());
   bool Changed = Next.driver() != this->Nodes.own().node();
   switch (Decision.Action) {
   case RolloutDecision::Kind::Hold:
@@ -334,8 +333,8 @@
   Known.Written = *Stored;
   if (*Stored == proto::RUNNING)
     co_return;
-  proto::RolloutProgress Final = *this->Rollouts.find(
-      Progress.order().service(), Number);
+  proto::RolloutProgress Final =
+      *this->Rollouts.find(Progress.order().service(), Number);
   Final.set_state(*Stored);
   Final.set_stored(true);
   if (*Stored == proto::ROLLED_BACK)
--- a/persimmonquay/daemon/sockets.cc
+++ b/persimmonquay/daemon/sockets.cc
@@ -51,8 +51,8 @@
 
 PeerState peekConnection(Tcp::socket &Socket) {
   char Byte = 0;
-  const ssize_t Size = ::recv(Socket.native_handle(), &Byte, 1,
-                              MSG_PEEK | MSG_DONTWAIT);
+  const ssize_t Size =
+      ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
   if (Size > 0)
     return PeerState::HasData;
   if (Size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -1,6 +1,7 @@
 #include "persimmonquay/daemon/upstream_gate.h"
 
 #include "persimmonquay/base/logging.h"
+#include "persimmonquay/daemon/metrics.h"
 #include "persimmonquay/daemon/sockets.h"
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -46,13 +47,16 @@
 /// latency objective.
 constexpr int AssumedWorkDivisor = 3;
 
+/// Lines a second about calls that went well; those about others are not
+/// limited.
+constexpr double PlainLinesPerSecond = 2;
+
 /// Weight of one result in the failure rate that is reported to other nodes.
 constexpr double FailureWeight = 0.05;
 
 constexpr std::string_view HopHeaders[] = {
-    "connection", "keep-alive",        "proxy-connection", "te",
-    "trailer",    "transfer-encoding", "upgrade",          "content-length",
-    "expect"};
+    "connection",        "keep-alive", "proxy-connection", "te",    "trailer",
+    "transfer-encoding", "upgrade",    "content-length",   "expect"};
 
 bool isHopHeader(std::string_view Name) {
   for (const std::string_view Hop : HopHeaders)
@@ -105,9 +109,11 @@
 };
 
 UpstreamGate::UpstreamGate(asio::io_context &Loop, HeaderNames HeaderWords,
-                 Tcp::endpoint UpstreamAddress)
-    : Context(Loop), Names(std::move(HeaderWords)),
-      Address(std::move(UpstreamAddress)), ExpiryTimer(Loop) {}
+                           Tcp::endpoint UpstreamAddress, Metrics &Counters)
+    : Context(Loop), Counts(Counters),
+      PlainLines(internal::PlainLinesPerSecond, internal::PlainLinesPerSecond),
+      Names(std::move(HeaderWords)), Address(std::move(UpstreamAddress)),
+      ExpiryTimer(Loop) {}
 
 UpstreamGate::~UpstreamGate() = default;
 
@@ -138,7 +144,7 @@
 }
 
 std::uint64_t UpstreamGate::submit(proto::CallRequest Request,
-                              ReplyHandler Handler) {
+                                   ReplyHandler Handler) {
   const MonoTime Now = monoNow();
   auto Offered = std::make_shared<Call>(this->Context);
   Offered->Ticket = this->NextTicket++;
@@ -168,6 +174,8 @@
     this->reject(Result.Rejection);
   else if (Result.Verdict == AdmissionVerdict::Start)
     this->start(Ticket);
+  else
+    this->Counts.noteGate(GateAction::Waited);
   this->armExpiry();
   return Ticket;
 }
@@ -178,6 +186,10 @@
     return;
   const std::shared_ptr<Call> Given = Found->second;
   Given->Cancelled = true;
+  this->Counts.noteGate(GateAction::Cancelled);
+  logLine(LogLevel::Info, "call given up by its caller",
+          {{"request", Given->Request.request_id()},
+           {"state", Given->Running ? "running" : "waiting"}});
   if (!Given->Running) {
     this->Queue.cancel(Ticket);
     this->Calls.erase(Found);
@@ -190,10 +202,10 @@
 
 void UpstreamGate::setUpstream(std::optional<proto::UpstreamEntry> Registered) {
   const bool Replaced =
-      Registered && (!this->Upstream ||
-                     this->Upstream->instance() != Registered->instance() ||
-                     this->Upstream->started_unix_ms() !=
-                         Registered->started_unix_ms());
+      Registered &&
+      (!this->Upstream ||
+       this->Upstream->instance() != Registered->instance() ||
+       this->Upstream->started_unix_ms() != Registered->started_unix_ms());
   if (Replaced) {
     this->Pool.closeAll();
     this->Work.clear();
@@ -215,9 +227,8 @@
 
 bool UpstreamGate::runsUntil(MonoTime Deadline) const {
   for (const auto &[Ticket, Each] : this->Calls)
-    if (Each->Running &&
-        std::chrono::abs(Each->Deadline - Deadline) <
-            internal::DeadlineTolerance)
+    if (Each->Running && std::chrono::abs(Each->Deadline - Deadline) <
+                             internal::DeadlineTolerance)
       return true;
   return false;
 }
@@ -227,9 +238,8 @@
   Report.set_running(static_cast<std::uint32_t>(this->Queue.running()));
   Report.set_waiting(static_cast<std::uint32_t>(this->Queue.waiting()));
   Report.set_slots(static_cast<std::uint32_t>(this->Queue.slots()));
-  Report.set_wait_us(static_cast<std::uint32_t>(
-      std::min<std::int64_t>(this->Queue.predictedWait(monoNow()).count(),
-                             UINT32_MAX)));
+  Report.set_wait_us(static_cast<std::uint32_t>(std::min<std::int64_t>(
+      this->Queue.predictedWait(monoNow()).count(), UINT32_MAX)));
   Report.set_failed_permille(
       static_cast<std::uint32_t>(std::lround(this->FailureRate * 1000)));
   return Report;
@@ -241,6 +251,18 @@
     return;
   const std::shared_ptr<Call> Refused = Found->second;
   this->Calls.erase(Found);
+  this->Counts.noteGate(GateAction::Rejected);
+  // Busy is an answer to a question; the router says what it made of it.
+  if (Rejected.Reason != BusyReason)
+    logLine(
+        LogLevel::Info, "call rejected before the upstream",
+        {{"request", Refused->Request.request_id()},
+         {"route", Refused->Request.route()},
+         {"reason", std::string(Rejected.Reason)},
+         {"running", std::to_string(this->Queue.running())},
+         {"waiting", std::to_string(this->Queue.waiting())},
+         {"slots", std::to_string(this->Queue.slots())},
+         {"remaining_ms", std::to_string(Refused->Request.remaining_ms())}});
   proto::CallReply Reply;
   Reply.set_outcome(proto::NOT_RUN);
   Reply.set_reason(std::string(Rejected.Reason));
@@ -266,6 +288,9 @@
   const std::shared_ptr<Call> Starting = this->Calls.at(Ticket);
   Starting->Running = true;
   Starting->Started = monoNow();
+  this->Counts.noteGate(GateAction::Started);
+  this->Counts.noteGateWait(std::chrono::duration_cast<Micros>(
+      Starting->Started - Starting->Arrival));
   asio::co_spawn(
       this->Context, [this, Starting] { return this->run(Starting); },
       asio::detached);
@@ -294,10 +319,9 @@
 
 asio::awaitable<bool> UpstreamGate::connect(Call &Running) {
   const bool Idempotent = Running.Request.idempotent();
-  Running.Connection =
-      this->Pool.take(Idempotent ? internal::MaxIdleForIdempotent
-                                 : internal::MaxIdleForOnce,
-                      monoNow());
+  Running.Connection = this->Pool.take(
+      Idempotent ? internal::MaxIdleForIdempotent : internal::MaxIdleForOnce,
+      monoNow());
   if (Running.Connection)
     co_return true;
   Running.Connection =
@@ -333,8 +357,8 @@
   Result.set(this->Names.CallingService, Request.calling_service());
   Result.set(this->Names.Instance, Request.instance());
   Result.body() = Request.body();
-  if (!Request.body().empty() || (Request.method() != "GET" &&
-                                  Request.method() != "HEAD"))
+  if (!Request.body().empty() ||
+      (Request.method() != "GET" && Request.method() != "HEAD"))
     Result.content_length(Request.body().size());
   return Result;
 }
@@ -453,10 +477,10 @@
     return;
   const auto Taken = std::chrono::duration_cast<std::chrono::microseconds>(
       monoNow() - Ended.Started);
-  const bool Failed = Reply.outcome() == proto::UNKNOWN ||
-                      (Reply.outcome() == proto::ANSWERED &&
-                       Reply.status() >= 500) ||
-                      Reply.outcome() == proto::NOT_RUN;
+  const bool Failed =
+      Reply.outcome() == proto::UNKNOWN ||
+      (Reply.outcome() == proto::ANSWERED && Reply.status() >= 500) ||
+      Reply.outcome() == proto::NOT_RUN;
   this->FailureRate +=
       internal::FailureWeight * ((Failed ? 1.0 : 0.0) - this->FailureRate);
   if (!Failed)
@@ -466,11 +490,31 @@
     this->Results({Ended.Request.route(), Failed, Taken});
 }
 
+void UpstreamGate::logEnd(const Call &Ended, const proto::CallReply &Reply) {
+  const bool Plain = Reply.outcome() == proto::ANSWERED && Reply.status() < 500;
+  if (Plain && !this->PlainLines.allow(monoNow()))
+    return;
+  const auto Waited =
+      std::chrono::duration_cast<Millis>(Ended.Started - Ended.Arrival);
+  const auto Worked =
+      std::chrono::duration_cast<Millis>(monoNow() - Ended.Started);
+  logLine(LogLevel::Info, "call ended at the upstream",
+          {{"request", Ended.Request.request_id()},
+           {"route", Ended.Request.route()},
+           {"instance", Ended.Request.instance()},
+           {"outcome", proto::CallOutcome_Name(Reply.outcome())},
+           {"status", std::to_string(Reply.status())},
+           {"reason", Reply.reason()},
+           {"waited_ms", std::to_string(Waited.count())},
+           {"worked_ms", std::to_string(Worked.count())}});
+}
+
 void UpstreamGate::finish(const std::shared_ptr<Call> &Ended,
-                     proto::CallReply Reply) {
+                          proto::CallReply Reply) {
   this->Queue.finish(Ended->Ticket);
   this->Calls.erase(Ended->Ticket);
   this->noteWork(*Ended, Reply);
+  this->logEnd(*Ended, Reply);
   Reply.set_work_us(static_cast<std::uint32_t>(
       std::chrono::duration_cast<std::chrono::microseconds>(monoNow() -
                                                             Ended->Started)
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -2,6 +2,7 @@
 #ifndef PERSIMMONQUAY_DAEMON_UPSTREAM_GATE_H
 #define PERSIMMONQUAY_DAEMON_UPSTREAM_GATE_H
 
+#include "persimmonquay/base/line_writer.h"
 #include "persimmonquay/base/time.h"
 #include "persimmonquay/daemon/asio.h"
 #include "persimmonquay/daemon/header_names.h"
@@ -17,6 +18,8 @@
 
 namespace persimmonquay {
 
+class Metrics;
+
 /// What an ingress tells of a call that reached the upstream.
 struct UpstreamResult {
   std::string Route;
@@ -37,7 +40,7 @@
   using ResultHandler = std::function<void(const UpstreamResult &)>;
 
   UpstreamGate(asio::io_context &Loop, HeaderNames HeaderWords,
-          Tcp::endpoint UpstreamAddress);
+               Tcp::endpoint UpstreamAddress, Metrics &Counters);
   UpstreamGate(const UpstreamGate &) = delete;
   UpstreamGate &operator=(const UpstreamGate &) = delete;
   ~UpstreamGate();
@@ -91,9 +94,12 @@
   HttpRequest upstreamRequest(const Call &Running) const;
   proto::CallReply judge(const Call &Running, Exchange Done);
   void finish(const std::shared_ptr<Call> &Ended, proto::CallReply Reply);
+  void logEnd(const Call &Ended, const proto::CallReply &Reply);
   void noteWork(const Call &Ended, const proto::CallReply &Reply);
 
   asio::io_context &Context;
+  Metrics &Counts;
+  RateLimit PlainLines;
   HeaderNames Names;
   Tcp::endpoint Address;
   std::optional<proto::UpstreamEntry> Upstream;
--- a/persimmonquay/fleet/directory.cc
+++ b/persimmonquay/fleet/directory.cc
@@ -25,8 +25,7 @@
   this->Own.set_boot(Boot);
 }
 
-Directory::Merge Directory::merge(const proto::NodeEntry &Entry,
-                                  MonoTime Now) {
+Directory::Merge Directory::merge(const proto::NodeEntry &Entry, MonoTime Now) {
   if (Entry.node() == this->OwnNode) {
     // An earlier run of this node may have had a clock that was ahead.
     if (Entry.boot() > this->Own.boot()) {
--- a/persimmonquay/fleet/fleet_test.cc
+++ b/persimmonquay/fleet/fleet_test.cc
@@ -28,8 +28,7 @@
 
 TEST_CASE("an entry of an earlier run with a later clock is outdone") {
   Directory Nodes("a", 100);
-  CHECK(Nodes.merge(entryOf("a", 500, 3), monoNow()) ==
-        Directory::Merge::Own);
+  CHECK(Nodes.merge(entryOf("a", 500, 3), monoNow()) == Directory::Merge::Own);
   CHECK(Nodes.own().boot() > 500);
 }
 
--- a/persimmonquay/fleet/upstream_registry.cc
+++ b/persimmonquay/fleet/upstream_registry.cc
@@ -25,8 +25,8 @@
   this->Left = false;
   this->Heard = Now;
   const bool Changed =
-      !this->Current || !google::protobuf::util::MessageDifferencer::Equals(
-                            *this->Current, Next);
+      !this->Current ||
+      !google::protobuf::util::MessageDifferencer::Equals(*this->Current, Next);
   this->Current = std::move(Next);
   return Changed;
 }
--- a/persimmonquay/mesh/route_table.cc
+++ b/persimmonquay/mesh/route_table.cc
@@ -12,8 +12,8 @@
 absl::Status checkRoute(const proto::VirtualHost &Host,
                         const proto::MeshRoute &Route,
                         const std::unordered_set<std::string> &Services) {
-  const std::string Name =
-      absl::StrCat("route \"", Route.name(), "\" of host \"", Host.host(), "\"");
+  const std::string Name = absl::StrCat("route \"", Route.name(),
+                                        "\" of host \"", Host.host(), "\"");
   if (!absl::StartsWith(Route.path_prefix(), "/") ||
       !absl::EndsWith(Route.path_prefix(), "/"))
     return absl::InvalidArgumentError(
@@ -66,7 +66,8 @@
                                          std::string_view Target) const {
   if (const std::size_t Colon = Host.rfind(':'); Colon != Host.npos)
     Host = Host.substr(0, Colon);
-  const auto Routes = this->Hosts.find(absl::AsciiStrToLower(std::string(Host)));
+  const auto Routes =
+      this->Hosts.find(absl::AsciiStrToLower(std::string(Host)));
   if (Routes == this->Hosts.end())
     return nullptr;
   std::string_view Path = Target.substr(0, Target.find('?'));
@@ -74,7 +75,8 @@
   // met first.
   for (std::size_t Slash = Path.rfind('/'); Slash != Path.npos;
        Slash = Path.rfind('/')) {
-    if (const auto Found = Routes->second.find(std::string(Path.substr(0, Slash + 1)));
+    if (const auto Found =
+            Routes->second.find(std::string(Path.substr(0, Slash + 1)));
         Found != Routes->second.end())
       return Found->second;
     Path = Path.substr(0, Slash);
--- a/persimmonquay/mesh/traffic_split.h
+++ b/persimmonquay/mesh/traffic_split.h
@@ -26,8 +26,8 @@
       : Weights(std::move(PartWeights)), Credit(this->Weights.size(), 0) {
     for (const std::uint32_t Weight : this->Weights)
       this->Total += Weight;
-    const auto Skipped = static_cast<std::int64_t>(
-        Phase * static_cast<double>(this->Total));
+    const auto Skipped =
+        static_cast<std::int64_t>(Phase * static_cast<double>(this->Total));
     for (std::int64_t I = 0; I < Skipped % MaxSkipped; ++I)
       this->next();
   }
--- a/persimmonquay/rollout/rollout_book.cc
+++ b/persimmonquay/rollout/rollout_book.cc
@@ -22,8 +22,7 @@
                       internal::progressRank(Known.Progress))
     return false;
   const bool ShareChanged =
-      IsFirst ||
-      Known.Progress.share_permille() != Progress.share_permille();
+      IsFirst || Known.Progress.share_permille() != Progress.share_permille();
   Known.Progress = Progress;
   if (ShareChanged && Progress.share_permille() <= internal::WholePermille)
     Known.Split.emplace(std::vector<std::uint32_t>{
@@ -46,8 +45,7 @@
       Choice.Not.insert(Target);
       // An order for the version that takes all calls already withdraws it
       // only if that version turned out to be bad.
-      if (Choice.Only == Target &&
-          Known.Progress.state() == proto::ROLLED_BACK)
+      if (Choice.Only == Target && Known.Progress.state() == proto::ROLLED_BACK)
         Choice.Only.reset();
     }
   }
@@ -72,8 +70,8 @@
   return this->base(Service);
 }
 
-const proto::RolloutProgress *
-RolloutBook::find(const std::string &Service, std::uint64_t Number) const {
+const proto::RolloutProgress *RolloutBook::find(const std::string &Service,
+                                                std::uint64_t Number) const {
   const auto Found = this->Services.find(Service);
   if (Found == this->Services.end())
     return nullptr;
--- a/persimmonquay/rollout/rollout_policy.cc
+++ b/persimmonquay/rollout/rollout_policy.cc
@@ -92,9 +92,7 @@
   double Calls = 0;
   double Bad = 0;
 
-  double rate() const {
-    return this->Calls == 0 ? 0 : this->Bad / this->Calls;
-  }
+  double rate() const { return this->Calls == 0 ? 0 : this->Bad / this->Calls; }
 };
 
 Health healthOf(const VersionCounts &Counts, std::size_t FirstSlow) {
@@ -123,8 +121,7 @@
         New.Latency[I] += Span.New.Latency[I];
       }
     }
-    const std::size_t FirstSlow =
-        quantileBucket(Old.Latency, SlowQuantile) + 1;
+    const std::size_t FirstSlow = quantileBucket(Old.Latency, SlowQuantile) + 1;
     const Health OldHealth = healthOf(Old, FirstSlow);
     const Health NewHealth = healthOf(New, FirstSlow);
     Proofs += NewHealth.Calls;
@@ -206,8 +203,7 @@
   std::uint32_t Wanted = Situation.SharePermille;
   std::size_t StepsTaken = 0;
   for (const internal::Step &Each : internal::Steps)
-    if (Progress >= Each.From &&
-        Each.SharePermille > Situation.SharePermille &&
+    if (Progress >= Each.From && Each.SharePermille > Situation.SharePermille &&
         StepsTaken < internal::MaxStepsAtOnce) {
       Wanted = Each.SharePermille;
       ++StepsTaken;
--- a/persimmonquay/rollout/rollout_test.cc
+++ b/persimmonquay/rollout/rollout_test.cc
@@ -100,8 +100,7 @@
     std::bernoulli_distribution Chosen(0.0);
     for (double Now = Step; Now < Duration; Now += Step) {
       for (int Call = 0; Call < CallsPerSecond * Step; ++Call) {
-        const bool Target =
-            std::bernoulli_distribution(Share / 1000.0)(Random);
+        const bool Target = std::bernoulli_distribution(Share / 1000.0)(Random);
         const auto [Bad, Taken] = (Target ? New : Old)(Now);
         proto::RolloutTally &Tally = Tallies[Target ? 1 : 0];
         Tally.set_calls(Tally.calls() + 1);
@@ -121,8 +120,7 @@
       Situation.Elapsed = Millis(static_cast<int>(Now * 1000));
       Situation.Duration = Millis(15000);
       Situation.SharePermille = Share;
-      Situation.AtShare =
-          Millis(static_cast<int>((Now - ShareSince) * 1000));
+      Situation.AtShare = Millis(static_cast<int>((Now - ShareSince) * 1000));
       Situation.TargetSlots = 27;
       Situation.OtherSlots = 27;
       const RolloutDecision Next =
@@ -142,8 +140,8 @@
 
 std::pair<bool, Micros> usualCall(std::mt19937_64 &Random) {
   const bool Bad = std::bernoulli_distribution(0.004)(Random);
-  const double Taken = std::lognormal_distribution<double>(
-      std::log(110000.0), 0.5)(Random);
+  const double Taken =
+      std::lognormal_distribution<double>(std::log(110000.0), 0.5)(Random);
   return {Bad, Micros(static_cast<std::int64_t>(Taken))};
 }
 
--- a/persimmonquay/traffic/admission_queue.cc
+++ b/persimmonquay/traffic/admission_queue.cc
@@ -80,9 +80,8 @@
   std::sort(Times.begin(), Times.end());
   // Running calls beyond the slots (after a shrink) must end first.
   if (Times.size() > this->Slots && this->Slots > 0)
-    Times.erase(Times.begin(),
-                Times.begin() +
-                    static_cast<std::ptrdiff_t>(Times.size() - this->Slots));
+    Times.erase(Times.begin(), Times.begin() + static_cast<std::ptrdiff_t>(
+                                                   Times.size() - this->Slots));
   return Times;
 }
 
@@ -146,9 +145,8 @@
                                   MonoTime Now) const {
   // A call that returns after this time finds a queue that has drained far
   // enough for it to end on time, if nobody else arrives.
-  const Micros Fits =
-      std::chrono::duration_cast<Micros>(Call.Objective - Now) -
-      Call.LikelyWork;
+  const Micros Fits = std::chrono::duration_cast<Micros>(Call.Objective - Now) -
+                      Call.LikelyWork;
   return std::max(internal::MinRetryAfter,
                   Wait - std::max(Fits / 2, Micros{0}));
 }
@@ -169,7 +167,7 @@
   const Micros Wait = this->predictedWait(Call, Now);
   std::optional<std::string_view> Why = this->whyHopeless(Call, Wait, Now);
   if (!Why && Wait > MaxWait)
-    Why = "busy";
+    Why = BusyReason;
   if (!Why && this->Waiting.size() >= internal::MaxWaitingCalls)
     Why = "the queue is full";
   if (Why) {
@@ -177,8 +175,8 @@
     Result.Rejection = {Call.Id, *Why, this->timeToRoom(Call, Wait, Now)};
     return Result;
   }
-  this->Waiting.push_back({Call, Now, this->NextSequence++,
-                           internal::nextCheck(Call, Wait, Now)});
+  this->Waiting.push_back(
+      {Call, Now, this->NextSequence++, internal::nextCheck(Call, Wait, Now)});
   Result.Verdict = AdmissionVerdict::Wait;
   Result.Displaced = this->expire(Now);
   return Result;
--- a/persimmonquay/traffic/admission_queue.h
+++ b/persimmonquay/traffic/admission_queue.h
@@ -6,9 +6,10 @@
 // (the more important goes first and is never pushed out by a lesser one),
 // short calls among long ones, as upstreams make them while they run others
 // (they hardly delay anybody, and their failure wastes the work of the call
-// that needs them: never demoted for being late), callers that return after a rejection (what is already late
-// uses only room that nobody on time needs), and upstreams that hang or slow
-// down when they are given more than they have slots.
+// that needs them: never demoted for being late), callers that return after a
+// rejection (what is already late uses only room that nobody on time needs),
+// and upstreams that hang or slow down when they are given more than they have
+// slots.
 #ifndef PERSIMMONQUAY_TRAFFIC_ADMISSION_QUEUE_H
 #define PERSIMMONQUAY_TRAFFIC_ADMISSION_QUEUE_H
 
@@ -45,6 +46,9 @@
   Micros RetryAfter{0};
 };
 
+/// Reason of a rejection that only says that the wait is longer than allowed.
+inline constexpr std::string_view BusyReason = "busy";
+
 enum class AdmissionVerdict { Start, Wait, Reject };
 
 /// The answer to an offered call.
--- a/persimmonquay/traffic/placement.cc
+++ b/persimmonquay/traffic/placement.cc
@@ -38,8 +38,8 @@
 void UpstreamView::noteResult(bool Failed, std::chrono::microseconds WorkTime,
                               MonoTime Now) {
   const double Known = this->failureRate(Now);
-  this->FailureRate = Known + internal::FailureWeight *
-                                  ((Failed ? 1.0 : 0.0) - Known);
+  this->FailureRate =
+      Known + internal::FailureWeight * ((Failed ? 1.0 : 0.0) - Known);
   this->FailedAt = Now;
   if (!Failed)
     this->Work.add(WorkTime);
@@ -55,16 +55,14 @@
 std::chrono::microseconds UpstreamView::expectedWait(MonoTime Now) const {
   if (Now - this->ReportedAt > internal::MaxReportAge)
     return this->Work.mean() * (this->InFlight / this->Slots);
-  const auto Age =
-      std::chrono::duration_cast<std::chrono::microseconds>(
-          Now - this->ReportedAt);
+  const auto Age = std::chrono::duration_cast<std::chrono::microseconds>(
+      Now - this->ReportedAt);
   const std::chrono::microseconds Drained =
       std::max(this->ReportedWait - Age, std::chrono::microseconds{0});
   // Calls that this node sent since the report aren't in it.
-  const std::uint32_t Unreported =
-      this->InFlight > this->InFlightAtReport
-          ? this->InFlight - this->InFlightAtReport
-          : 0;
+  const std::uint32_t Unreported = this->InFlight > this->InFlightAtReport
+                                       ? this->InFlight - this->InFlightAtReport
+                                       : 0;
   const std::uint32_t Busy = this->ReportedRunning + Unreported;
   if (this->ReportedWait.count() == 0 && Busy < this->Slots)
     return std::chrono::microseconds{0};
@@ -93,8 +91,8 @@
     const std::chrono::microseconds Cost = Views[I]->expectedCost(Now);
     const auto Shuffle = std::chrono::duration_cast<std::chrono::microseconds>(
         Cost * (internal::TiebreakPart * Tiebreak[I]));
-    Result.push_back({I, Views[I]->isLocal(), Views[I]->expectedWait(Now),
-                      Cost + Shuffle});
+    Result.push_back(
+        {I, Views[I]->isLocal(), Views[I]->expectedWait(Now), Cost + Shuffle});
   }
   std::sort(Result.begin(), Result.end(),
             [](const Candidate &Left, const Candidate &Right) {
--- a/persimmonquay/traffic/traffic_test.cc
+++ b/persimmonquay/traffic/traffic_test.cc
@@ -28,11 +28,13 @@
   AdmissionQueue Queue(2);
   const MonoTime Now = monoNow();
   for (std::uint64_t Id = 1; Id <= 2; ++Id)
-    CHECK(Queue.offer(callOf(Id, Now, Millis(400), Millis(1500), Millis(100)),
-                      Micros{0}, Now)
+    CHECK(Queue
+              .offer(callOf(Id, Now, Millis(400), Millis(1500), Millis(100)),
+                     Micros{0}, Now)
               .Verdict == AdmissionVerdict::Start);
-  CHECK(Queue.offer(callOf(3, Now, Millis(400), Millis(1500), Millis(100)),
-                    NoLimit, Now)
+  CHECK(Queue
+            .offer(callOf(3, Now, Millis(400), Millis(1500), Millis(100)),
+                   NoLimit, Now)
             .Verdict == AdmissionVerdict::Wait);
   CHECK(Queue.running() == 2);
   CHECK(Queue.waiting() == 1);
@@ -85,8 +87,9 @@
               Now);
   Queue.offer(callOf(2, Now, Millis(500), Millis(1500), Millis(180)), NoLimit,
               Now);
-  CHECK(Queue.offer(callOf(3, Now, Millis(120), Millis(400), Millis(30)),
-                    NoLimit, Now)
+  CHECK(Queue
+            .offer(callOf(3, Now, Millis(120), Millis(400), Millis(30)),
+                   NoLimit, Now)
             .Verdict == AdmissionVerdict::Wait);
   CHECK(Queue.expire(Now + Millis(180)).empty());
   Queue.finish(1);
@@ -98,8 +101,9 @@
   const MonoTime Now = monoNow();
   Queue.offer(callOf(1, Now, Millis(500), Millis(1500), Millis(180)), NoLimit,
               Now);
-  CHECK(Queue.offer(callOf(2, Now, Millis(120), Millis(150), Millis(30)),
-                    NoLimit, Now)
+  CHECK(Queue
+            .offer(callOf(2, Now, Millis(120), Millis(150), Millis(30)),
+                   NoLimit, Now)
             .Verdict == AdmissionVerdict::Reject);
 }
 
@@ -108,9 +112,8 @@
   const MonoTime Now = monoNow();
   Queue.offer(callOf(1, Now, Millis(400), Millis(1500), Millis(100)), NoLimit,
               Now);
-  const Admission Result =
-      Queue.offer(callOf(2, Now, Millis(400), Millis(1500), Millis(100)),
-                  Millis(20), Now);
+  const Admission Result = Queue.offer(
+      callOf(2, Now, Millis(400), Millis(1500), Millis(100)), Millis(20), Now);
   CHECK(Result.Verdict == AdmissionVerdict::Reject);
   CHECK(Result.Rejection.Reason == "busy");
 }
@@ -163,8 +166,8 @@
   std::uint64_t NextId = 1;
   std::lognormal_distribution<double> Spread(-0.045, 0.3);
   const auto Begin = [&](std::uint64_t Id, MonoTime Now) {
-    Events.push({Now + Micros(static_cast<std::int64_t>(
-                           Spread(Random) * Micros(Work).count())),
+    Events.push({Now + Micros(static_cast<std::int64_t>(Spread(Random) *
+                                                        Micros(Work).count())),
                  Id});
   };
   const auto StartNext = [&](MonoTime Now) {
@@ -278,8 +281,8 @@
     Slow.noteResult(false, Millis(400), Now);
     Failing.noteResult(Call % 2 == 0, Millis(100), Now);
   }
-  const std::vector<Candidate> Ranked = rankUpstreams(
-      {&Failing, &Slow, &Sound}, {0.5, 0.5, 0.5}, Now);
+  const std::vector<Candidate> Ranked =
+      rankUpstreams({&Failing, &Slow, &Sound}, {0.5, 0.5, 0.5}, Now);
   CHECK(Ranked[0].Index == 2);
 }
 
--- a/persimmonquay/traffic/work_estimate.h
+++ b/persimmonquay/traffic/work_estimate.h
@@ -8,8 +8,8 @@
 
 namespace persimmonquay {
 
-/// Exponentially weighted mean and mean deviation of measured times. The first few measurements
-/// weigh more, so that a new estimate is soon near the truth.
+/// Exponentially weighted mean and mean deviation of measured times. The first
+/// few measurements weigh more, so that a new estimate is soon near the truth.
 class WorkEstimate {
 public:
   explicit WorkEstimate(std::chrono::microseconds Initial) : Mean(Initial) {}
--- a/testing/platform/app_stand_in.cc
+++ b/testing/platform/app_stand_in.cc
@@ -71,13 +71,12 @@
       for (std::size_t I = 1; I < Lines.size(); ++I) {
         const std::size_t Colon = Lines[I].find(':');
         Request->Headers[absl::AsciiStrToLower(Lines[I].substr(0, Colon))] =
-            std::string(
-                absl::StripAsciiWhitespace(Lines[I].substr(Colon + 1)));
+            std::string(absl::StripAsciiWhitespace(Lines[I].substr(Colon + 1)));
       }
       const auto Length = Request->Headers.find("content-length");
-      Wanted = End + 4 +
-               (Length == Request->Headers.end() ? 0
-                                                 : std::stoul(Length->second));
+      Wanted =
+          End + 4 +
+          (Length == Request->Headers.end() ? 0 : std::stoul(Length->second));
     }
     if (Wanted != 0 && Buffer.size() >= Wanted) {
       const std::size_t Head = Buffer.find("\r\n\r\n") + 4;
--- a/testing/platform/platform_test.cc
+++ b/testing/platform/platform_test.cc
@@ -17,8 +17,7 @@
 
 /// Two nodes: callers at the first, the service's upstream at the second.
 struct TwoNodes {
-  TwoNodes()
-      : Caller(Mesh.add("orders")), Server(Mesh.add("gallery")) {
+  TwoNodes() : Caller(Mesh.add("orders")), Server(Mesh.add("gallery")) {
     Mesh.publish(5, "gallery");
     REQUIRE(Mesh.waitUntilReady());
     REQUIRE(eventually(Patience, [this] {
@@ -45,11 +44,11 @@
   Two.Server.App->behave([](const ReceivedRequest &Request) {
     return answerTo(Request, 201, "a body of the upstream");
   });
-  const MeshAnswer Answer = Two.Mesh.call(
-      Two.Caller, {.Method = "POST",
-                   .Target = "/orders/9?size=3",
-                   .Body = "one board",
-                   .Id = "call-7"});
+  const MeshAnswer Answer =
+      Two.Mesh.call(Two.Caller, {.Method = "POST",
+                                 .Target = "/orders/9?size=3",
+                                 .Body = "one board",
+                                 .Id = "call-7"});
   CHECK(Answer.Status == 201);
   CHECK(Answer.Body == "a body of the upstream");
   CHECK(Answer.Headers.at("x-persimmonquay-response-signature") == "proof");
@@ -107,8 +106,7 @@
 
 TEST_CASE("a call that may not be repeated runs once when its answer is lost") {
   TwoNodes Two;
-  Two.Server.App->behave(
-      [](const ReceivedRequest &) { return std::string(); });
+  Two.Server.App->behave([](const ReceivedRequest &) { return std::string(); });
   const MeshAnswer Answer = Two.Mesh.call(
       Two.Caller, {.Method = "POST", .Target = "/orders/1", .Id = "once"});
   CHECK(Answer.Status == 502);
@@ -140,8 +138,7 @@
   Two.Server.App->behave([](const ReceivedRequest &Request) {
     ReceivedRequest Other = Request;
     Other.Headers["x-persimmonquay-request-id"] = "somebody-else";
-    return answerTo(Request, 200, "first") +
-           answerTo(Other, 200, "not yours");
+    return answerTo(Request, 200, "first") + answerTo(Other, 200, "not yours");
   });
   for (int I = 0; I < 20; ++I) {
     const MeshAnswer Answer =
@@ -188,8 +185,7 @@
       "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
       "0\r\n\r\nGET /views/1 HTTP/1.1\r\nHost: boards.example\r\n"
       "X-Persimmonquay-Request-Id: inner\r\n\r\n";
-  const std::string Answer =
-      sendBytes(Two.Caller.CallerPort, Bytes, Patience);
+  const std::string Answer = sendBytes(Two.Caller.CallerPort, Bytes, Patience);
   CHECK(Answer.starts_with("HTTP/1.1 400"));
   CHECK(countOf(*Two.Server.App, "outer") == 0);
   CHECK(countOf(*Two.Server.App, "inner") == 0);
@@ -240,9 +236,8 @@
   // The stand-in sees the close when it is done with the request.
   const int Before = Two.Server.App->closedByCaller();
   Release = true;
-  CHECK(eventually(Patience, [&] {
-    return Two.Server.App->closedByCaller() > Before;
-  }));
+  CHECK(eventually(Patience,
+                   [&] { return Two.Server.App->closedByCaller() > Before; }));
 }
 
 TEST_CASE("SIGTERM lets a call under way end and then ends the process") {
@@ -254,9 +249,8 @@
     return answerTo(Request);
   });
   MeshAnswer Answer;
-  std::thread Calling([&] {
-    Answer = Two.Mesh.call(Two.Caller, {.Id = "under-way"});
-  });
+  std::thread Calling(
+      [&] { Answer = Two.Mesh.call(Two.Caller, {.Id = "under-way"}); });
   REQUIRE(eventually(Patience, [&] { return Arrived.load(); }));
   Two.Server.Node->signal(SIGTERM);
   Two.Caller.Node->signal(SIGTERM);
@@ -276,9 +270,8 @@
   Two.Mesh.store().forgetHistory("keyed.op");
   Two.Mesh.startNode(Two.Caller);
   Two.Mesh.startNode(Two.Server);
-  REQUIRE(eventually(Patience, [&] {
-    return Two.Mesh.heartbeat(Two.Server) == 200;
-  }));
+  REQUIRE(eventually(Patience,
+                     [&] { return Two.Mesh.heartbeat(Two.Server) == 200; }));
   CHECK(eventually(Patience, [&] {
     return Two.Mesh.call(Two.Caller, {.Id = "again"}).Status == 200;
   }));
--- a/testing/platform/small_mesh.cc
+++ b/testing/platform/small_mesh.cc
@@ -90,26 +90,26 @@
 void SmallMesh::startNode(MeshPlace &Place) {
   const std::string Settings =
       absl::StrCat(this->Directory, "/", Place.Name, ".json");
-  const Json Values = {{"node", Place.Name},
-                       {"data_centre", "here"},
-                       {"address", "127.0.0.1"},
-                       {"caller_address", addressOf(Place.CallerPort)},
-                       {"link_address", addressOf(Place.LinkPort)},
-                       {"readiness_address", addressOf(Place.ReadinessPort)},
-                       {"registration_address",
-                        addressOf(Place.RegistrationPort)},
-                       {"upstream_address", addressOf(Place.App->port())},
-                       {"service", Place.Service},
-                       {"store_address", addressOf(this->Store.port())},
-                       {"registration_interval_s", 60},
-                       {"grace_period_s", 6},
-                       {"drain_timeout_s", 2},
-                       {"retry_budget_ratio", 0.2},
-                       {"retry_budget_window_s", 10},
-                       {"retry_budget_extra", 60},
-                       {"exposure_share", 0.1},
-                       {"exposure_extra", 50},
-                       {"memory_mb", 256}};
+  const Json Values = {
+      {"node", Place.Name},
+      {"data_centre", "here"},
+      {"address", "127.0.0.1"},
+      {"caller_address", addressOf(Place.CallerPort)},
+      {"link_address", addressOf(Place.LinkPort)},
+      {"readiness_address", addressOf(Place.ReadinessPort)},
+      {"registration_address", addressOf(Place.RegistrationPort)},
+      {"upstream_address", addressOf(Place.App->port())},
+      {"service", Place.Service},
+      {"store_address", addressOf(this->Store.port())},
+      {"registration_interval_s", 60},
+      {"grace_period_s", 6},
+      {"drain_timeout_s", 2},
+      {"retry_budget_ratio", 0.2},
+      {"retry_budget_window_s", 10},
+      {"retry_budget_extra", 60},
+      {"exposure_share", 0.1},
+      {"exposure_extra", 50},
+      {"memory_mb", 256}};
   std::ofstream(Settings) << Values.dump(2);
   Place.Node.reset();
   Place.Node = std::make_unique<Process>(
--- a/testing/platform/small_mesh.h
+++ b/testing/platform/small_mesh.h
@@ -57,8 +57,7 @@
 
   /// Adds a node beside an upstream of `Service`; the upstream answers every
   /// request well. The node is started and the upstream registered.
-  MeshPlace &add(const std::string &Service,
-                 const std::string &Version = "v1");
+  MeshPlace &add(const std::string &Service, const std::string &Version = "v1");
 
   /// Starts the place's process anew.
   void startNode(MeshPlace &Place);
--- a/testing/platform/store_stand_in.cc
+++ b/testing/platform/store_stand_in.cc
@@ -150,8 +150,8 @@
 void StoreStandIn::read(const std::map<std::string, std::string> &Query,
                         Poco::Net::HTTPServerResponse &Response) {
   const std::uint64_t From = std::stoull(Query.at("from"));
-  const auto Wait =
-      std::chrono::milliseconds(static_cast<int>(numberOr(Query, "wait_ms", 0)));
+  const auto Wait = std::chrono::milliseconds(
+      static_cast<int>(numberOr(Query, "wait_ms", 0)));
   std::unique_lock<std::mutex> Lock(this->Mutex);
   Topic &Kept = this->Topics[Query.at("topic")];
   this->Changed.wait_for(Lock, Wait, [&] {
--- a/testing/platform/store_stand_in.h
+++ b/testing/platform/store_stand_in.h
@@ -61,8 +61,7 @@
   void serve(Poco::Net::HTTPServerRequest &Request,
              Poco::Net::HTTPServerResponse &Response);
   void append(const std::map<std::string, std::string> &Query,
-              const std::string &Body,
-              Poco::Net::HTTPServerResponse &Response);
+              const std::string &Body, Poco::Net::HTTPServerResponse &Response);
   void read(const std::map<std::string, std::string> &Query,
             Poco::Net::HTTPServerResponse &Response);
   void list(const std::map<std::string, std::string> &Query,
