Cross to another data centre when the queue here rejects; judge slack by likely work

Cause: a call whose only queue here was rejected as late got 503 although other data centres had room: the rule that crossing does not pay was still applied. Ruled out: stale views (the shortest wait was fresh).

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -32,7 +32,7 @@
 
 /// Time for which a data centre that has rejected a call is not asked again
 /// for the same service.
-constexpr Millis RemoteBusyPause{250};
+constexpr Millis RemoteBusyPause{100};
 
 /// Time that an answer is awaited beyond the deadline, so that the upstream's
 /// own word arrives; far less than callers notice.
@@ -115,6 +115,7 @@
   MonoTime Objective;
   Millis Patience{0};
   Micros Work{0};
+  Micros LikelyWork{0};
   /// Nodes that rejected the call because of their load, with their wait.
   std::map<std::string, Micros> Busy;
   /// Nodes that the call won't be offered to again.
@@ -318,8 +319,11 @@
                                         Millis{0});
   Asked.Objective = Now + Millis(Asked.Route->latency_objective_ms()) - Elapsed;
   const auto Known = this->RouteWork.find(Asked.Route->name());
-  Asked.Work = Known == this->RouteWork.end() ? internal::AssumedWork
-                                              : Known->second.mean();
+  const WorkEstimate Work = Known == this->RouteWork.end()
+                                ? WorkEstimate(internal::AssumedWork)
+                                : Known->second;
+  Asked.Work = Work.mean();
+  Asked.LikelyWork = Work.likely();
   std::vector<std::uint32_t> Weights;
   for (const proto::TrafficPart &Part : Asked.Route->parts())
     Weights.push_back(Part.weight());
@@ -378,7 +382,8 @@
   }
   const std::vector<Candidate> Ranked = rankUpstreams(Views, Tiebreak, Now);
   const Micros Slack =
-      std::chrono::duration_cast<Micros>(Asked.Objective - Now) - Asked.Work;
+      std::chrono::duration_cast<Micros>(Asked.Objective - Now) -
+      Asked.LikelyWork;
   ServiceState &State = this->stateOf(Asked.Service);
   for (const Candidate &Each : Ranked) {
     const std::shared_ptr<Target> &To = All[Each.Index];
@@ -395,7 +400,7 @@
     Micros ShortestHere = Micros::max();
     for (const auto &[Node, Wait] : Asked.Busy)
       ShortestHere = std::min(ShortestHere, Wait);
-    if (!Asked.Busy.empty() && ShortestHere <= Slack)
+    if (!Asked.Busy.empty() && ShortestHere <= Slack && !Asked.JoinedQueue)
       break;
     if (Each.Wait > Slack && !Asked.Busy.empty())
       continue;
--- a/persimmonquay/rollout/rollout_policy.cc
+++ b/persimmonquay/rollout/rollout_policy.cc
@@ -82,6 +82,7 @@
       }
     }
   std::vector<SpanCounts> Result;
+  Result.reserve(Sum.size());
   for (const auto &[Number, Span] : Sum)
     Result.push_back(Span);
   return Result;
