--- a/persimmonquay/cli/cli_test.cc
+++ b/persimmonquay/cli/cli_test.cc
@@ -2,9 +2,11 @@
 #include "persimmonquay/cli/change_builder.h"
 #include "persimmonquay/cli/command_line.h"
 #include "persimmonquay/cli/exit_code.h"
+#include "persimmonquay/cli/explain.h"
 #include "persimmonquay/cli/printing.h"
 #include "persimmonquay/cli/run.h"
 #include <doctest/doctest.h>
+#include <sstream>
 
 namespace persimmonquay {
 namespace {
@@ -97,5 +99,23 @@
   CHECK(moveLine(Status).find("done") != std::string::npos);
 }
 
+TEST_CASE("explain shows the lines of one request in order of time") {
+  std::istringstream Lines(
+      "12.5 node-b {\"unix_ms\":1030,\"node\":\"b\",\"message\":\"call "
+      "ended at the upstream\",\"request\":\"r1\",\"status\":\"200\"}\n"
+      "no line of ours that names r1\n"
+      "{\"unix_ms\":1000,\"node\":\"a\",\"message\":\"call is "
+      "repeated\",\"request\":\"r1\"}\n"
+      "{\"unix_ms\":1010,\"node\":\"a\",\"message\":\"call "
+      "answered\",\"request\":\"r12\"}\n");
+  std::vector<RequestEvent> Events;
+  collectEvents(Lines, "r1", &Events);
+  REQUIRE(Events.size() == 2);
+  const std::string Table = eventsTable(Events);
+  CHECK(Table.find("call is repeated") < Table.find("call ended"));
+  CHECK(Table.find("+30 ms") != std::string::npos);
+  CHECK(Table.find("status=200") != std::string::npos);
+}
+
 } // namespace
 } // namespace persimmonquay
--- a/persimmonquay/cli/command_line.cc
+++ b/persimmonquay/cli/command_line.cc
@@ -25,6 +25,13 @@
         "settings file, JSON with comments; default: as the platform names it");
     return Result;
   }
+  if (Command == "explain") {
+    Add("request", options::value<std::string>(), "id of the request");
+    Add("log", options::value<std::vector<std::string>>(),
+        "file of log lines of one or more nodes; may be repeated; default: "
+        "standard input");
+    return Result;
+  }
   if (Command == "config check") {
     Add("file", options::value<std::string>(), "file of services and routes");
     return Result;
@@ -155,6 +162,11 @@
        "Run the daemon beside an upstream on the platform.",
        "persimmonquay sidecar --settings sidecar.json",
        {}},
+      {"explain",
+       "Show what nodes logged about one request, in order.",
+       "persimmonquay explain 9c41d07be2a35f68 --log node-1.log --log "
+       "node-2.log",
+       {"request"}},
       {"config check",
        "Check a file of services and routes.",
        "persimmonquay config check config.json",
--- a/persimmonquay/cli/run.cc
+++ b/persimmonquay/cli/run.cc
@@ -5,6 +5,7 @@
 #include "persimmonquay/cli/change_builder.h"
 #include "persimmonquay/cli/command_line.h"
 #include "persimmonquay/cli/exit_code.h"
+#include "persimmonquay/cli/explain.h"
 #include "persimmonquay/cli/operator_client.h"
 #include "persimmonquay/cli/printing.h"
 #include "persimmonquay/config/acceptance.h"
@@ -14,6 +15,7 @@
 #include "proto/settings.pb.h"
 #include <absl/strings/str_cat.h>
 #include <csignal>
+#include <fstream>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -131,6 +133,29 @@
       Asked.has("settings") ? Asked.text("settings") : ""));
 }
 
+ExitCode runExplain(const Invocation &Asked) {
+  const std::string Id = Asked.text("request");
+  std::vector<RequestEvent> Events;
+  if (!Asked.has("log")) {
+    collectEvents(std::cin, Id, &Events);
+  } else {
+    for (const std::string &Path :
+         Asked.Options["log"].as<std::vector<std::string>>()) {
+      std::ifstream File(Path);
+      if (!File)
+        return complain(absl::NotFoundError(
+            absl::StrCat("file \"", Path, "\" can't be opened")));
+      collectEvents(File, Id, &Events);
+    }
+  }
+  if (Events.empty()) {
+    std::cerr << "persimmonquay: no line names request \"" << Id << "\"\n";
+    return ExitCode::Refused;
+  }
+  std::cout << eventsTable(std::move(Events));
+  return ExitCode::Done;
+}
+
 ExitCode runConfigCheck(const Invocation &Asked) {
   proto::ResourceFile File;
   const absl::Status Read = readResources(Asked.text("file"), &File);
@@ -287,6 +312,7 @@
   static const std::map<std::string, Runner> All = {
       {"node", runNode},
       {"sidecar", runSidecar},
+      {"explain", runExplain},
       {"config check", runConfigCheck},
       {"config publish", runConfigPublish},
       {"config show", runConfigShow},
--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -123,6 +123,7 @@
   std::size_t LocalOffers = 0;
   std::size_t RemoteOffers = 0;
   bool JoinedQueue = false;
+  bool NoneHere = false;
   /// Upstreams on which the call ran, or may have.
   std::uint32_t Ran = 0;
   std::uint32_t Arrived = 0;
@@ -371,6 +372,12 @@
     Asked.Versions = this->Parts.Rollouts.base(Asked.Service);
     All = this->candidates(Asked);
   }
+  // Where the own data centre has no upstream of the service, the others take
+  // its place: there is nothing to be spared by waiting here.
+  Asked.NoneHere = std::none_of(
+      All.begin(), All.end(), [](const std::shared_ptr<Target> &To) {
+        return To->View.isLocal();
+      });
   std::erase_if(All, [&Asked](const std::shared_ptr<Target> &To) {
     return Asked.Busy.contains(To->Entry.node());
   });
@@ -387,10 +394,12 @@
   ServiceState &State = this->stateOf(Asked.Service);
   for (const Candidate &Each : Ranked) {
     const std::shared_ptr<Target> &To = All[Each.Index];
-    if (Each.Local) {
+    if (Each.Local || Asked.NoneHere) {
       if (Asked.LocalOffers >= internal::MaxLocalOffers)
         continue;
-      *MaxWait = Asked.Work / internal::FirstOfferWorkDivisor;
+      // An offer far away costs a transfer: it may wait as long as is in time.
+      const Micros Short = Asked.Work / internal::FirstOfferWorkDivisor;
+      *MaxWait = Each.Local ? Short : std::max(Short, Slack);
       return To;
     }
     if (Asked.RemoteOffers >= internal::MaxRemoteOffers ||
@@ -404,8 +413,7 @@
       break;
     if (Each.Wait > Slack && !Asked.Busy.empty())
       continue;
-    *MaxWait = Asked.Busy.empty() ? std::max(Slack, Asked.Work)
-                                  : std::max(Slack, Micros{0});
+    *MaxWait = std::max(Slack, Micros{0});
     return To;
   }
   return this->bestKnown(Asked, MaxWait);
@@ -555,7 +563,7 @@
     return;
   }
   Asked.Busy[Node] = Micros(Reply.load().wait_us());
-  if (To.View.isLocal()) {
+  if (To.View.isLocal() || Asked.NoneHere) {
     ++Asked.LocalOffers;
   } else {
     ++Asked.RemoteOffers;
--- a/testing/platform/platform_test.cc
+++ b/testing/platform/platform_test.cc
@@ -1,4 +1,5 @@
 // Runs the real program on loopback against stand-ins of the platform.
+#include "persimmonquay/cli/explain.h"
 #include "testing/platform/small_mesh.h"
 #include <Poco/Net/StreamSocket.h>
 #include <absl/strings/numbers.h>
@@ -7,6 +8,7 @@
 #include <csignal>
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 namespace persimmonquay::testing {
 namespace {
@@ -289,6 +291,53 @@
   }));
 }
 
+/// What `persimmonquay explain` prints about a request from all nodes' output.
+std::string explained(SmallMesh &Mesh, const std::string &Id) {
+  std::vector<RequestEvent> Events;
+  for (const std::unique_ptr<MeshPlace> &Place : Mesh.places()) {
+    std::istringstream Lines(Place->Node->output());
+    collectEvents(Lines, Id, &Events);
+  }
+  return eventsTable(Events);
+}
+
+/// The three ways of docs/OPERATIONS.md from a request to its cause.
+TEST_CASE("logs lead from a request without an answer to the lost answer") {
+  TwoNodes Two;
+  Two.Server.App->behave([](const ReceivedRequest &) { return std::string(); });
+  Two.Mesh.call(Two.Caller, {.Method = "POST",
+                             .Target = "/orders/1",
+                             .Id = "lost-1"});
+  CHECK(eventually(Patience, [&] {
+    const std::string Text = explained(Two.Mesh, "lost-1");
+    return Text.find("call ended at the upstream") != std::string::npos &&
+           Text.find("outcome=UNKNOWN") != std::string::npos &&
+           Text.find("status=502") != std::string::npos;
+  }));
+}
+
+TEST_CASE("logs lead from a rejected request to the drain of its upstream") {
+  TwoNodes Two;
+  Two.Mesh.heartbeat(Two.Server, "draining");
+  Two.Mesh.call(Two.Caller, {.Id = "rejected-1"});
+  CHECK(eventually(Patience, [&] {
+    const std::string Text = explained(Two.Mesh, "rejected-1");
+    return Text.find("status=503") != std::string::npos &&
+           Two.Server.Node->output().find("\"state\":\"draining\"") !=
+               std::string::npos;
+  }));
+}
+
+TEST_CASE("logs lead from a request without a route to the configuration") {
+  TwoNodes Two;
+  Two.Mesh.call(Two.Caller, {.Target = "/gone/1", .Id = "route-1"});
+  CHECK(eventually(Patience, [&] {
+    const std::string Text = explained(Two.Mesh, "route-1");
+    return Text.find("status=404") != std::string::npos &&
+           Text.find("config_version=5") != std::string::npos;
+  }));
+}
+
 /// A rollout's state as the operator reads it.
 std::string rolloutState(SmallMesh &Mesh) {
   const std::optional<std::string> Text =
