Answer the last request of a kept connection on SIGTERM; try upstreams that served nothing

It now waits until they are closed. Found by the tests: a short call was demoted when nothing ran; an upstream that had served nothing was taken to need 100 ms and never got a call beside a fast one; a test's port could be taken before the node had it.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -375,9 +375,8 @@
   // Where the own data centre has no upstream of the service, the others take
   // its place: there is nothing to be spared by waiting here.
   Asked.NoneHere = std::none_of(
-      All.begin(), All.end(), [](const std::shared_ptr<Target> &To) {
-        return To->View.isLocal();
-      });
+      All.begin(), All.end(),
+      [](const std::shared_ptr<Target> &To) { return To->View.isLocal(); });
   std::erase_if(All, [&Asked](const std::shared_ptr<Target> &To) {
     return Asked.Busy.contains(To->Entry.node());
   });
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -481,8 +481,9 @@
   Timer.expires_after(internal::ClosingIdle);
   co_await Timer.async_wait(NoThrow);
   this->Callers->stopAccepting();
-  while (monoNow() < End && (this->Callers->requestsUnderWay() > 0 ||
-                             this->Gate.callsUnderWay() > 0)) {
+  // A kept connection may bring one more request until it is closed.
+  while (monoNow() < End &&
+         (this->Callers->connections() > 0 || this->Gate.callsUnderWay() > 0)) {
     Timer.expires_after(internal::ShutdownCheckInterval);
     co_await Timer.async_wait(NoThrow);
   }
--- a/persimmonquay/traffic/admission_queue.cc
+++ b/persimmonquay/traffic/admission_queue.cc
@@ -13,8 +13,8 @@
 /// be answered late; a longer wait costs the caller more than an early refusal.
 constexpr int LateWaitDivisor = 8;
 
-/// A call that takes at most this part of the running calls' mean time is
-/// short: it delays another call by less than their spread does.
+/// A call that takes at most this part of the other calls' mean time is short:
+/// it delays another call by less than their spread does.
 constexpr int ShortWorkDivisor = 3;
 
 /// Shortest time that a rejected caller is told to wait: a round trip and the
@@ -37,14 +37,19 @@
 } // namespace internal
 
 bool AdmissionQueue::isShort(const QueuedCall &Call) const {
-  if (this->Running.empty())
-    return false;
   Micros Sum{0};
-  for (const RunningCall &Each : this->Running)
+  std::int64_t Others = 0;
+  for (const RunningCall &Each : this->Running) {
     Sum += Each.Work;
-  return Call.Work * internal::ShortWorkDivisor *
-             static_cast<std::int64_t>(this->Running.size()) <=
-         Sum;
+    ++Others;
+  }
+  for (const WaitingCall &Each : this->Waiting) {
+    if (Each.Call.Id == Call.Id)
+      continue;
+    Sum += Each.Call.Work;
+    ++Others;
+  }
+  return Others > 0 && Call.Work * internal::ShortWorkDivisor * Others <= Sum;
 }
 
 bool AdmissionQueue::isLate(const QueuedCall &Call, MonoTime Now) const {
--- a/persimmonquay/traffic/placement.cc
+++ b/persimmonquay/traffic/placement.cc
@@ -20,6 +20,12 @@
 /// Age at which a load report says nothing any more.
 constexpr Millis MaxReportAge{1000};
 
+/// Work that a full upstream is ranked behind an idle one, as a part of it.
+constexpr double CrowdingPart = 0.5;
+
+/// Work that is assumed while none of the upstreams has served a call.
+constexpr std::chrono::microseconds AssumedWork{100000};
+
 /// Range over which equal upstreams are shuffled, as part of the work.
 constexpr double TiebreakPart = 0.1;
 
@@ -69,7 +75,17 @@
   return Drained + this->Work.mean() * Unreported / this->Slots;
 }
 
-std::chrono::microseconds UpstreamView::expectedCost(MonoTime Now) const {
+std::optional<std::chrono::microseconds> UpstreamView::measuredWork() const {
+  if (!this->Work.isMeasured())
+    return std::nullopt;
+  return this->Work.mean();
+}
+
+std::chrono::microseconds
+UpstreamView::expectedCost(MonoTime Now,
+                           std::chrono::microseconds Assumed) const {
+  const std::chrono::microseconds OneCall =
+      this->measuredWork().value_or(Assumed);
   const double Load =
       static_cast<double>(std::max(this->ReportedRunning, this->InFlight)) /
       this->Slots;
@@ -78,17 +94,23 @@
   // A nearly full upstream is a worse bet than its report says, since other
   // nodes read the same report.
   const auto Crowding = std::chrono::duration_cast<std::chrono::microseconds>(
-      this->Work.mean() * (0.5 * Load * Load));
-  return this->expectedWait(Now) + this->Work.mean() + Crowding + Failures;
+      OneCall * (internal::CrowdingPart * Load * Load));
+  return this->expectedWait(Now) + OneCall + Crowding + Failures;
 }
 
 std::vector<Candidate>
 rankUpstreams(const std::vector<const UpstreamView *> &Views,
               const std::vector<double> &Tiebreak, MonoTime Now) {
+  std::optional<std::chrono::microseconds> Fastest;
+  for (const UpstreamView *View : Views)
+    if (const auto Work = View->measuredWork();
+        Work && (!Fastest || *Work < *Fastest))
+      Fastest = Work;
   std::vector<Candidate> Result;
   Result.reserve(Views.size());
   for (std::size_t I = 0; I < Views.size(); ++I) {
-    const std::chrono::microseconds Cost = Views[I]->expectedCost(Now);
+    const std::chrono::microseconds Cost =
+        Views[I]->expectedCost(Now, Fastest.value_or(internal::AssumedWork));
     const auto Shuffle = std::chrono::duration_cast<std::chrono::microseconds>(
         Cost * (internal::TiebreakPart * Tiebreak[I]));
     Result.push_back(
--- a/persimmonquay/traffic/placement.h
+++ b/persimmonquay/traffic/placement.h
@@ -13,6 +13,7 @@
 #include "persimmonquay/traffic/work_estimate.h"
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,9 +48,14 @@
   /// Returns the wait that a call would have there, as far as is known.
   std::chrono::microseconds expectedWait(MonoTime Now) const;
 
+  /// Returns the measured time of a call, if one has ended there.
+  std::optional<std::chrono::microseconds> measuredWork() const;
+
   /// Returns the expected time to a good answer, by which upstreams are
-  /// compared; failures make it longer.
-  std::chrono::microseconds expectedCost(MonoTime Now) const;
+  /// compared; failures make it longer. `Assumed` stands for the time of a
+  /// call where none has ended yet.
+  std::chrono::microseconds
+  expectedCost(MonoTime Now, std::chrono::microseconds Assumed) const;
 
   double failureRate(MonoTime Now) const;
 
@@ -76,8 +82,10 @@
 };
 
 /// Returns the views' indices as candidates, best first: those of the own data
-/// centre, then the others. `Tiebreak` (0 to 1 for each view) orders equals
-/// differently on every call, so that nodes don't choose alike.
+/// centre, then the others. An upstream that has served no call yet is taken to
+/// be as fast as the fastest, so that a new one gets work at once. `Tiebreak`
+/// (0 to 1 for each view) orders equals differently on every call, so that
+/// nodes don't choose alike.
 std::vector<Candidate> rankUpstreams(const std::vector<const UpstreamView *> &,
                                      const std::vector<double> &Tiebreak,
                                      MonoTime Now);
--- a/persimmonquay/traffic/traffic_test.cc
+++ b/persimmonquay/traffic/traffic_test.cc
@@ -286,6 +286,18 @@
   CHECK(Ranked[0].Index == 2);
 }
 
+// Found by a test over processes: an upstream that had served nothing was taken
+// to need 100 ms and never got a call beside one measured to be fast.
+TEST_CASE("an upstream that has served nothing yet is tried") {
+  const MonoTime Now = monoNow();
+  UpstreamView Known(true, 9);
+  UpstreamView New(true, 9);
+  for (int Call = 0; Call < 30; ++Call)
+    Known.noteResult(false, Millis(1), Now);
+  CHECK(rankUpstreams({&Known, &New}, {0.9, 0.1}, Now)[0].Index == 1);
+  CHECK(rankUpstreams({&Known, &New}, {0.1, 0.9}, Now)[0].Index == 0);
+}
+
 TEST_CASE("an upstream that recovers is tried again") {
   const MonoTime Now = monoNow();
   UpstreamView Failing(true, 9);
--- a/testing/platform/platform_test.cc
+++ b/testing/platform/platform_test.cc
@@ -1,6 +1,10 @@
 // Runs the real program on loopback against stand-ins of the platform.
 #include "persimmonquay/cli/explain.h"
 #include "testing/platform/small_mesh.h"
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/StreamSocket.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -262,6 +266,47 @@
   CHECK(Two.Caller.Node->wait(Patience) == 0);
 }
 
+// Found by a hunt (hraunbord-mesh trouble-1, seed 791907464054): a request that
+// came over a kept connection in the last 50 ms was passed on and never
+// answered.
+TEST_CASE("a stopping node answers every request that it has passed on") {
+  TwoNodes Two;
+  std::atomic<int> Lost = 0;
+  std::vector<std::thread> Callers;
+  for (int Caller = 0; Caller < 8; ++Caller)
+    Callers.emplace_back([&Two, &Lost, Caller] {
+      Poco::Net::HTTPClientSession Session("127.0.0.1", Two.Caller.CallerPort);
+      Session.setKeepAlive(true);
+      Session.setTimeout(Poco::Timespan(30, 0));
+      for (int Call = 0;; ++Call) {
+        const std::string Id = absl::StrCat("kept-", Caller, "-", Call);
+        try {
+          Poco::Net::HTTPRequest Request("GET", "/views/1", "HTTP/1.1");
+          Request.setHost("boards.example");
+          Request.setKeepAlive(true);
+          Request.set("X-Persimmonquay-Request-Id", Id);
+          Request.set("X-Persimmonquay-Deadline-Remaining", "3000");
+          Session.sendRequest(Request);
+          Poco::Net::HTTPResponse Response;
+          std::istream &Body = Session.receiveResponse(Response);
+          Body.ignore(1000000);
+          if (!Response.getKeepAlive())
+            Session.reset();
+        } catch (const Poco::Exception &) {
+          // The node is gone; what it had passed on must have been answered.
+          Lost += static_cast<int>(countOf(*Two.Server.App, Id));
+          return;
+        }
+        std::this_thread::sleep_for(Millis(3 + Caller));
+      }
+    });
+  Two.Caller.Node->signal(SIGTERM);
+  CHECK(Two.Caller.Node->wait(Patience) == 0);
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  CHECK(Lost == 0);
+}
+
 TEST_CASE("calls go on while the store is out, and a restart finds all again") {
   TwoNodes Two;
   Two.Mesh.store().setOutage(true);
@@ -305,9 +350,8 @@
 TEST_CASE("logs lead from a request without an answer to the lost answer") {
   TwoNodes Two;
   Two.Server.App->behave([](const ReceivedRequest &) { return std::string(); });
-  Two.Mesh.call(Two.Caller, {.Method = "POST",
-                             .Target = "/orders/1",
-                             .Id = "lost-1"});
+  Two.Mesh.call(Two.Caller,
+                {.Method = "POST", .Target = "/orders/1", .Id = "lost-1"});
   CHECK(eventually(Patience, [&] {
     const std::string Text = explained(Two.Mesh, "lost-1");
     return Text.find("call ended at the upstream") != std::string::npos &&
--- a/testing/platform/small_mesh.cc
+++ b/testing/platform/small_mesh.cc
@@ -14,6 +14,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <nlohmann/json.hpp>
 
 namespace persimmonquay::testing {
@@ -34,6 +35,13 @@
       .string();
 }
 
+void choosePorts(MeshPlace &Place) {
+  Place.CallerPort = freePort();
+  Place.LinkPort = freePort();
+  Place.ReadinessPort = freePort();
+  Place.RegistrationPort = freePort();
+}
+
 MeshAnswer exchange(std::uint16_t Port, Poco::Net::HTTPRequest &Request,
                     const std::string &Body) {
   MeshAnswer Result;
@@ -74,16 +82,21 @@
   Place->Service = Service;
   Place->Version = Version;
   Place->StartedUnixMs = static_cast<std::uint64_t>(unixMillis(wallNow()));
-  Place->CallerPort = freePort();
-  Place->LinkPort = freePort();
-  Place->ReadinessPort = freePort();
-  Place->RegistrationPort = freePort();
   Place->App = std::make_unique<AppStandIn>(
       [](const ReceivedRequest &Request) { return answerTo(Request); });
   MeshPlace &Added = *Place;
   this->Places.push_back(std::move(Place));
+  choosePorts(Added);
   this->startNode(Added);
-  eventually(StartTimeout, [&] { return this->heartbeat(Added) == 200; });
+  eventually(StartTimeout, [&] {
+    // Another program may have taken a port meanwhile.
+    if (Added.Node->wait(Millis(0))) {
+      std::cerr << Added.Node->output();
+      choosePorts(Added);
+      this->startNode(Added);
+    }
+    return this->heartbeat(Added) == 200;
+  });
   return Added;
 }
 
@@ -168,7 +181,7 @@
 }
 
 bool SmallMesh::waitUntilReady() {
-  return eventually(StartTimeout, [this] {
+  const bool Ready = eventually(StartTimeout, [this] {
     for (const std::unique_ptr<MeshPlace> &Place : this->Places) {
       Poco::Net::HTTPRequest Request("GET", "/-/readiness", "HTTP/1.1");
       if (exchange(Place->ReadinessPort, Request, "").Status != 200)
@@ -176,6 +189,10 @@
     }
     return true;
   });
+  if (!Ready)
+    for (const std::unique_ptr<MeshPlace> &Place : this->Places)
+      std::cerr << Place->Node->output();
+  return Ready;
 }
 
 MeshAnswer SmallMesh::call(const MeshPlace &Through, const MeshCall &Options) {
