--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -3,6 +3,7 @@
 #include "persimmonquay/base/hashing.h"
 #include "persimmonquay/base/logging.h"
 #include "persimmonquay/daemon/caller_server.h"
+#include "persimmonquay/daemon/connection_headers.h"
 #include "persimmonquay/daemon/metrics.h"
 #include "persimmonquay/daemon/peer_link.h"
 #include "persimmonquay/daemon/upstream_gate.h"
@@ -71,15 +72,9 @@
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusGatewayTimeout = 504;
 
-constexpr std::string_view ConnectionHeaders[] = {
-    "connection",        "keep-alive", "proxy-connection", "te",    "trailer",
-    "transfer-encoding", "upgrade",    "content-length",   "expect"};
-
 bool belongsToConnection(const HttpRequest &Message, std::string_view Name) {
-  for (const std::string_view Each : ConnectionHeaders)
-    if (boost::beast::iequals(Name, Each))
-      return true;
-  return http::token_list(Message[http::field::connection]).exists(Name);
+  return isConnectionHeader(Name) ||
+         http::token_list(Message[http::field::connection]).exists(Name);
 }
 
 } // namespace internal
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -1,6 +1,7 @@
 #include "persimmonquay/daemon/upstream_gate.h"
 
 #include "persimmonquay/base/logging.h"
+#include "persimmonquay/daemon/connection_headers.h"
 #include "persimmonquay/daemon/metrics.h"
 #include "persimmonquay/daemon/sockets.h"
 #include <absl/strings/numbers.h>
@@ -54,17 +55,6 @@
 /// Weight of one result in the failure rate that is reported to other nodes.
 constexpr double FailureWeight = 0.05;
 
-constexpr std::string_view HopHeaders[] = {
-    "connection",        "keep-alive", "proxy-connection", "te",    "trailer",
-    "transfer-encoding", "upgrade",    "content-length",   "expect"};
-
-bool isHopHeader(std::string_view Name) {
-  for (const std::string_view Hop : HopHeaders)
-    if (boost::beast::iequals(Name, Hop))
-      return true;
-  return false;
-}
-
 std::optional<Millis> statedIdleTime(const HttpResponse &Answer) {
   const std::string_view Text = Answer[http::field::keep_alive];
   constexpr std::string_view Key = "timeout=";
@@ -461,7 +451,7 @@
   Reply.set_outcome(proto::ANSWERED);
   Reply.set_status(Status);
   for (const auto &Field : Answer) {
-    if (internal::isHopHeader(Field.name_string()) ||
+    if (isConnectionHeader(Field.name_string()) ||
         Field.name_string() == this->Names.Load)
       continue;
     proto::HeaderField *Copy = Reply.add_headers();
--- a/testing/platform/platform_test.cc
+++ b/testing/platform/platform_test.cc
@@ -272,8 +272,10 @@
 TEST_CASE("a stopping node answers every request that it has passed on") {
   TwoNodes Two;
   std::atomic<int> Lost = 0;
+  constexpr int CallerCount = 8;
   std::vector<std::thread> Callers;
-  for (int Caller = 0; Caller < 8; ++Caller)
+  Callers.reserve(CallerCount);
+  for (int Caller = 0; Caller < CallerCount; ++Caller)
     Callers.emplace_back([&Two, &Lost, Caller] {
       Poco::Net::HTTPClientSession Session("127.0.0.1", Two.Caller.CallerPort);
       Session.setKeepAlive(true);
