Close resting connections as soon as the server closes

A connection that waited for its next request when the server began to close kept the idle time of 15 s that it had started with, so it lived until the end of the grace period. Ruled out: a call that outlives the grace period (its run ended by the cut after 30 ms), the accepting socket (closed 2 s before). Change: closing wakes the connections that rest; at the very end those without a request are closed unread, so that their callers may send it elsewhere. Test: daemon_test, new; the first case fails without the change.

--- a/persimmonquay/daemon/caller_server.cc
+++ b/persimmonquay/daemon/caller_server.cc
@@ -67,12 +67,25 @@
     this->close();
   }
 
+  /// Ends the wait for a request, so that it is seen that the server closes.
+  void wake() {
+    ErrorCode Ignored;
+    this->Socket.cancel(Ignored);
+  }
+
 private:
   /// Waits for the first byte of a request. Returns false when the connection
   /// ends first or has been idle for too long.
   asio::awaitable<bool> waitForRequest() {
+    this->Server->Waiting.insert(this);
+    const bool Arrived = co_await this->waitForBytes();
+    this->Server->Waiting.erase(this);
+    co_return Arrived && !this->Server->ReadsNothing;
+  }
+
+  asio::awaitable<bool> waitForBytes() {
     const MonoTime Start = monoNow();
-    while (this->Buffer.size() == 0) {
+    while (this->Buffer.size() == 0 && !this->Server->ReadsNothing) {
       const Millis Idle = this->Server->ClosingIdle.value_or(
           this->Server->Limits().IdleTimeout);
       const auto Waited = std::chrono::duration_cast<Millis>(monoNow() - Start);
@@ -223,7 +236,20 @@
   }
 }
 
-void CallerServer::startClosing(Millis IdleFor) { this->ClosingIdle = IdleFor; }
+void CallerServer::wakeWaiting() {
+  for (Session *Each : this->Waiting)
+    Each->wake();
+}
+
+void CallerServer::startClosing(Millis IdleFor) {
+  this->ClosingIdle = IdleFor;
+  this->wakeWaiting();
+}
+
+void CallerServer::closeUnread() {
+  this->ReadsNothing = true;
+  this->wakeWaiting();
+}
 
 void CallerServer::stopAccepting() {
   this->Stopped = true;
--- a/persimmonquay/daemon/caller_server.h
+++ b/persimmonquay/daemon/caller_server.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace persimmonquay {
 
@@ -48,13 +49,17 @@
   void start(Tcp::acceptor Listener);
 
   /// Tells callers by the header Connection that their connection ends after
-  /// the next answer; connections without a request are closed when they have
-  /// been idle for `IdleFor`.
+  /// the next answer; connections without a request are closed as soon as they
+  /// have been idle for `IdleFor`, those that rest already included.
   void startClosing(Millis IdleFor);
 
   /// Accepts no more connections and closes those without a request.
   void stopAccepting();
 
+  /// Closes the connections without a request at once. A request that arrives
+  /// there just now is not read, so that its caller may send it elsewhere.
+  void closeUnread();
+
   std::size_t connections() const { return this->Sessions; }
   std::size_t requestsUnderWay() const { return this->UnderWay; }
 
@@ -62,15 +67,19 @@
   class Session;
 
   asio::awaitable<void> acceptLoop();
+  void wakeWaiting();
 
   asio::io_context &Context;
   LimitsSource Limits;
   Handler Handle;
   std::optional<Tcp::acceptor> Acceptor;
   std::size_t Sessions = 0;
+  /// Sessions between two requests.
+  std::set<Session *> Waiting;
   std::size_t UnderWay = 0;
   std::optional<Millis> ClosingIdle;
   bool Stopped = false;
+  bool ReadsNothing = false;
 };
 
 } // namespace persimmonquay
--- /dev/null
+++ b/persimmonquay/daemon/daemon_test.cc
@@ -0,0 +1,112 @@
+#include "persimmonquay/daemon/caller_server.h"
+#include "persimmonquay/daemon/sockets.h"
+#include <boost/asio/connect.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+#include <string>
+
+namespace persimmonquay {
+namespace {
+
+/// A server that answers every request with 200, and one caller of it.
+class ServerFixture {
+public:
+  explicit ServerFixture(HttpLimits Bounds = {})
+      : Server(std::make_shared<CallerServer>(
+            this->Context, [Bounds] { return Bounds; },
+            [this](std::shared_ptr<CallerRequest>) { return this->answer(); })),
+        Caller(this->Context) {
+    absl::StatusOr<Tcp::acceptor> Listener = listenOn(
+        this->Context,
+        Tcp::endpoint(asio::ip::address_v4::loopback(), /*port_num=*/0));
+    REQUIRE(Listener.ok());
+    this->Address = Listener->local_endpoint();
+    this->Server->start(*std::move(Listener));
+    this->Caller.connect(this->Address);
+  }
+
+  void send(const std::string &Bytes) {
+    asio::write(this->Caller, asio::buffer(Bytes));
+  }
+
+  /// Runs the server until its answer has come, and returns it.
+  std::string receive() {
+    std::string Bytes(4096, '\0');
+    std::size_t Got = 0;
+    bool Done = false;
+    this->Caller.async_read_some(asio::buffer(Bytes),
+                                 [&](const ErrorCode &, std::size_t Size) {
+                                   Got = Size;
+                                   Done = true;
+                                 });
+    this->runUntil([&Done] { return Done; });
+    Bytes.resize(Got);
+    return Bytes;
+  }
+
+  template <typename F> void runUntil(F &&Holds) {
+    const MonoTime GiveUp = monoNow() + std::chrono::seconds(10);
+    while (!Holds() && monoNow() < GiveUp)
+      this->Context.run_one_for(Millis(50));
+    REQUIRE(Holds());
+  }
+
+  asio::io_context Context;
+  std::shared_ptr<CallerServer> Server;
+  Tcp::endpoint Address;
+  Tcp::socket Caller;
+  int Answered = 0;
+
+private:
+  asio::awaitable<HttpResponse> answer() {
+    ++this->Answered;
+    HttpResponse Result;
+    Result.result(200);
+    co_return Result;
+  }
+};
+
+constexpr char PlainRequest[] = "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n";
+
+TEST_CASE("a connection that rests is closed once the server closes") {
+  HttpLimits Bounds;
+  Bounds.IdleTimeout = std::chrono::hours(1);
+  ServerFixture Fixture(Bounds);
+  Fixture.send(PlainRequest);
+  CHECK(Fixture.receive().find("200 OK") != std::string::npos);
+  // The connection waits for its next request by now.
+  Fixture.Context.poll();
+  CHECK(Fixture.Server->connections() == 1);
+
+  Fixture.Server->startClosing(Millis(20));
+  Fixture.runUntil([&] { return Fixture.Server->connections() == 0; });
+  CHECK(Fixture.receive().empty());
+}
+
+TEST_CASE("a request that arrives while the server ends is not read") {
+  ServerFixture Fixture;
+  Fixture.send(PlainRequest);
+  Fixture.receive();
+  Fixture.Context.poll();
+
+  Fixture.Server->closeUnread();
+  Fixture.send(PlainRequest);
+  Fixture.runUntil([&] { return Fixture.Server->connections() == 0; });
+  CHECK(Fixture.Answered == 1);
+}
+
+TEST_CASE("the last request of a closing connection is answered") {
+  ServerFixture Fixture;
+  Fixture.send(PlainRequest);
+  Fixture.receive();
+  Fixture.Server->startClosing(std::chrono::hours(1));
+  Fixture.Server->stopAccepting();
+  Fixture.send(PlainRequest);
+  const std::string Answer = Fixture.receive();
+  CHECK(Answer.find("200 OK") != std::string::npos);
+  CHECK(Answer.find("Connection: close") != std::string::npos);
+  Fixture.runUntil([&] { return Fixture.Server->connections() == 0; });
+}
+
+} // namespace
+} // namespace persimmonquay
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -487,6 +487,7 @@
     Timer.expires_after(internal::ShutdownCheckInterval);
     co_await Timer.async_wait(NoThrow);
   }
+  this->Callers->closeUnread();
   logLine(LogLevel::Info, "stopped",
           {{"requests", std::to_string(this->Callers->requestsUnderWay())},
            {"calls", std::to_string(this->Gate.callsUnderWay())}});
