Lower the share of a version whose latest calls are worse

From a share of 40% on it failed a fifth of its calls, but the good calls before hid it from the test for three seconds, in which the share stayed where it was. Ruled out: late tallies (the driver had 7 failures of 91 at the step). Change: the latest 40 calls are judged beside all; doubt lowers the share to the first step, a second one takes the version back, and after the first no share is tried that could exceed the exposure. The rule on certain failures looks at the latest 100 calls.

--- a/persimmonquay/daemon/rollout_driver.cc
+++ b/persimmonquay/daemon/rollout_driver.cc
@@ -48,6 +48,7 @@
   MonoTime Heard;
   MonoTime ShareSince;
   MonoTime Reported;
+  std::uint32_t Fallbacks = 0;
   bool Writing = false;
   proto::RolloutState Written = proto::ROLLOUT_STATE_UNSPECIFIED;
   std::unique_ptr<RolloutEvidence> Evidence;
@@ -247,6 +248,7 @@
   Result.Duration = Millis(Known.Ordered.duration_ms());
   Result.SharePermille = Progress->share_permille();
   Result.AtShare = std::chrono::duration_cast<Millis>(Now - Known.ShareSince);
+  Result.Fallbacks = Known.Fallbacks;
   const VersionChoice Base = this->Rollouts.base(Known.Ordered.service());
   for (const proto::NodeEntry *Entry : this->Nodes.entries()) {
     const proto::UpstreamEntry &Upstream = Entry->upstream();
@@ -273,6 +275,7 @@
   case RolloutDecision::Kind::Hold:
     break;
   case RolloutDecision::Kind::SetShare:
+    Known.Fallbacks += Decision.SharePermille < Next.share_permille() ? 1 : 0;
     Next.set_share_permille(Decision.SharePermille);
     Known.ShareSince = Now;
     Changed = true;
--- a/persimmonquay/rollout/rollout_policy.cc
+++ b/persimmonquay/rollout/rollout_policy.cc
@@ -2,8 +2,10 @@
 
 #include "persimmonquay/move/harm_evidence.h"
 #include <absl/strings/str_format.h>
+#include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 
 namespace persimmonquay {
 namespace internal {
@@ -19,6 +21,8 @@
 constexpr std::array<Step, 5> Steps = {
     {{0.0, 70}, {0.40, 200}, {0.48, 400}, {0.56, 700}, {0.64, 1000}}};
 
+constexpr double WholePermille = 1000;
+
 /// Steps that may be taken at once when the time has run ahead of the share.
 constexpr std::size_t MaxStepsAtOnce = 2;
 
@@ -46,6 +50,13 @@
 constexpr double CertainFailures = 25;
 constexpr double CertainRate = 0.2;
 
+/// Latest calls of the target by which it is judged beside all of them: harm
+/// that shows only under a larger share is not hidden by the calls before. The
+/// first number is for doubt, which only holds a rollout back, the second for
+/// taking it back.
+constexpr double DoubtCalls = 40;
+constexpr double CertainCalls = 100;
+
 /// Slots of the target, as a part of the others', that carry a whole share.
 constexpr double EnoughCapacity = 0.6;
 
@@ -59,6 +70,18 @@
 /// that may be exposed.
 constexpr double ProofCalls = 30;
 constexpr double BadMargin = 0.08;
+constexpr double RecentBadMargin = 0.02;
+
+/// Standard deviations beyond the tolerated count of bad calls from which the
+/// share is not raised, and from which it is lowered: the first time, when it
+/// may be chance, and after that.
+constexpr double HoldExcess = 1;
+constexpr double DoubtExcess = 2.5;
+constexpr double RenewedDoubtExcess = 1.5;
+
+/// Times that a version may be worse under a larger share before it is taken
+/// back; once can be chance.
+constexpr std::uint32_t MaxFallbacks = 1;
 
 /// Part of the duration from which a version that is not shown to be sound is
 /// taken back: later it could not be completed in time.
@@ -103,36 +126,84 @@
   return Result;
 }
 
+void add(const VersionCounts &Part, VersionCounts *Sum) {
+  Sum->Calls += Part.Calls;
+  Sum->Errors += Part.Errors;
+  for (std::size_t I = 0; I < LatencyBuckets; ++I)
+    Sum->Latency[I] += Part.Latency[I];
+}
+
+VersionCounts sumOfOld(const std::vector<SpanCounts> &Spans) {
+  VersionCounts Result;
+  for (const SpanCounts &Span : Spans)
+    add(Span.Old, &Result);
+  return Result;
+}
+
+/// Returns the counts of the newest spans in which the target had `Calls`
+/// calls, or of all.
+VersionCounts latestOfTarget(const std::vector<SpanCounts> &Spans,
+                             double Calls) {
+  VersionCounts Result;
+  for (auto Span = Spans.rbegin(); Span != Spans.rend() && Result.Calls < Calls;
+       ++Span)
+    add(Span->New, &Result);
+  return Result;
+}
+
+/// Returns by how many standard deviations more calls were bad than the
+/// others' rate and `Margin` explain.
+double excess(const Health &Target, const Health &Others, double Margin) {
+  const double Tolerated = Target.Calls * (1.5 * Others.rate() + Margin);
+  return Tolerated == 0 ? 0 : (Target.Bad - Tolerated) / std::sqrt(Tolerated);
+}
+
 /// Whether the target had calls enough and, on each route with some of them,
-/// no clearly higher rate of bad ones than the others.
+/// no clearly higher rate of bad ones than the others, neither among all of
+/// its calls nor among the latest. Unknown holds the share, Doubtful lowers it.
 enum class Soundness { Unknown, Sound, Doubtful };
 Soundness
-soundness(const std::map<std::string, std::vector<SpanCounts>> &ByRoute) {
+soundness(const std::map<std::string, std::vector<SpanCounts>> &ByRoute,
+          double TooMuch) {
   double Proofs = 0;
+  double Worst = 0;
   for (const auto &[Route, Spans] : ByRoute) {
-    VersionCounts Old;
-    VersionCounts New;
-    for (const SpanCounts &Span : Spans) {
-      Old.Calls += Span.Old.Calls;
-      Old.Errors += Span.Old.Errors;
-      New.Calls += Span.New.Calls;
-      New.Errors += Span.New.Errors;
-      for (std::size_t I = 0; I < LatencyBuckets; ++I) {
-        Old.Latency[I] += Span.Old.Latency[I];
-        New.Latency[I] += Span.New.Latency[I];
-      }
-    }
+    const VersionCounts Old = sumOfOld(Spans);
     const std::size_t FirstSlow = quantileBucket(Old.Latency, SlowQuantile) + 1;
-    const Health OldHealth = healthOf(Old, FirstSlow);
-    const Health NewHealth = healthOf(New, FirstSlow);
-    Proofs += NewHealth.Calls;
-    // Two standard deviations of the count that the tolerated rate explains.
-    const double Tolerated =
-        NewHealth.Calls * (1.5 * OldHealth.rate() + BadMargin);
-    if (NewHealth.Bad > Tolerated + 2 * std::sqrt(Tolerated))
-      return Soundness::Doubtful;
+    const Health Others = healthOf(Old, FirstSlow);
+    const Health All =
+        healthOf(latestOfTarget(Spans, std::numeric_limits<double>::infinity()),
+                 FirstSlow);
+    const Health Latest =
+        healthOf(latestOfTarget(Spans, DoubtCalls), FirstSlow);
+    Proofs += All.Calls;
+    Worst = std::max(Worst, excess(All, Others, BadMargin));
+    if (Latest.Calls >= DoubtCalls)
+      Worst = std::max(Worst, excess(Latest, Others, RecentBadMargin));
   }
-  return Proofs >= ProofCalls ? Soundness::Sound : Soundness::Unknown;
+  if (Worst > TooMuch)
+    return Soundness::Doubtful;
+  return Proofs >= ProofCalls && Worst <= HoldExcess ? Soundness::Sound
+                                                     : Soundness::Unknown;
+}
+
+/// Whether a version that was doubted once stays within what may be exposed if
+/// it gets `SharePermille` until the next look and then turns out to be bad.
+bool mayExpose(const ExposureLimits &Limits, const RolloutSituation &Situation,
+               const std::vector<SpanCounts> &Spans,
+               std::uint32_t SharePermille) {
+  const double Had =
+      latestOfTarget(Spans, std::numeric_limits<double>::infinity()).Calls;
+  const double Calls = sumOfOld(Spans).Calls + Had;
+  const double Elapsed =
+      std::chrono::duration<double>(Situation.Elapsed).count();
+  const double Duration =
+      std::chrono::duration<double>(Situation.Duration).count();
+  const double CallsPerSecond = Calls / std::max(Elapsed, 1.0);
+  const double UntilLook = std::chrono::duration<double>(LookTime).count() *
+                           CallsPerSecond * SharePermille / WholePermille;
+  return Had + UntilLook <=
+         Limits.Share * CallsPerSecond * Duration + Limits.Extra;
 }
 
 std::string harmOf(const std::string &Route,
@@ -148,22 +219,14 @@
   if (Latency.logHarm() > Limit)
     return absl::StrFormat("route %s is slower (log evidence %.1f)", Route,
                            Latency.logHarm());
-  double Calls = 0;
-  double Failures = 0;
-  double OldCalls = 0;
-  double OldFailures = 0;
-  for (const SpanCounts &Span : Spans) {
-    Calls += Span.New.Calls;
-    Failures += Span.New.Errors;
-    OldCalls += Span.Old.Calls;
-    OldFailures += Span.Old.Errors;
-  }
+  const VersionCounts Old = sumOfOld(Spans);
+  const VersionCounts Latest = latestOfTarget(Spans, CertainCalls);
   const bool OldFailsToo =
-      OldCalls > 0 && OldFailures / OldCalls > CertainRate / 2;
-  if (Failures >= CertainFailures && Failures / Calls > CertainRate &&
-      !OldFailsToo)
-    return absl::StrFormat("route %s failed %.0f of %.0f calls", Route,
-                           Failures, Calls);
+      Old.Calls > 0 && Old.Errors / Old.Calls > CertainRate / 2;
+  if (Latest.Errors >= CertainFailures &&
+      Latest.Errors / Latest.Calls > CertainRate && !OldFailsToo)
+    return absl::StrFormat("route %s failed %.0f of the latest %.0f calls",
+                           Route, Latest.Errors, Latest.Calls);
   return {};
 }
 
@@ -211,7 +274,21 @@
     }
   const auto MaxUnproven = static_cast<std::uint32_t>(Limits.Share * 1000);
   if (Wanted > MaxUnproven) {
-    const internal::Soundness Sound = internal::soundness(All);
+    const internal::Soundness Sound = internal::soundness(
+        All, Situation.Fallbacks == 0 ? internal::DoubtExcess
+                                      : internal::RenewedDoubtExcess);
+    if (Sound == internal::Soundness::Doubtful &&
+        Situation.SharePermille > MaxUnproven) {
+      Result.Reason = "the latest calls are worse";
+      if (Situation.Fallbacks >= internal::MaxFallbacks) {
+        Result.Action = RolloutDecision::Kind::RollBack;
+        return Result;
+      }
+      // The doubt is resolved at a share that does little harm.
+      Result.Action = RolloutDecision::Kind::SetShare;
+      Result.SharePermille = internal::Steps.front().SharePermille;
+      return Result;
+    }
     if (Sound != internal::Soundness::Sound &&
         Progress >= internal::GiveUpFrom) {
       Result.Action = RolloutDecision::Kind::RollBack;
@@ -220,6 +297,14 @@
     }
     if (Sound != internal::Soundness::Sound || !CanCarryAll)
       return Result;
+    if (Situation.Fallbacks > 0 &&
+        !internal::mayExpose(Limits, Situation, All.at("(all)"), Wanted)) {
+      Result.Action = RolloutDecision::Kind::RollBack;
+      Result.Reason =
+          "it was worse under a larger share, and no calls are left "
+          "to look again";
+      return Result;
+    }
   }
   if (Situation.SharePermille > 0 && Situation.AtShare < internal::LookTime)
     return Result;
--- a/persimmonquay/rollout/rollout_policy.h
+++ b/persimmonquay/rollout/rollout_policy.h
@@ -31,6 +31,8 @@
   std::uint32_t SharePermille = 0;
   /// Time since the share was last raised.
   Millis AtShare{0};
+  /// Times that the share has fallen back to the first step.
+  std::uint32_t Fallbacks = 0;
   /// Slots of the upstreams that take calls.
   std::uint64_t TargetSlots = 0;
   std::uint64_t OtherSlots = 0;
@@ -46,7 +48,10 @@
 /// Pure. The share grows by steps at fixed parts of the time that the operator
 /// gave, so that harm that begins late shows at a small share; each step wants
 /// a look at the one before. The test of move/harm_evidence.h judges each
-/// route.
+/// route. When the latest calls are worse than the others' while the share is
+/// above what may be exposed, it falls back to the first step, so that a
+/// version that fails only under load takes few calls while it is judged; when
+/// that happens again the version is taken back.
 ///
 /// Example:
 ///   RolloutDecision Next = decideRollout(Limits, Situation, Spans);
--- a/persimmonquay/rollout/rollout_test.cc
+++ b/persimmonquay/rollout/rollout_test.cc
@@ -69,8 +69,10 @@
 /// policy every quarter of a second, as the driver does.
 class SimulatedRollout {
 public:
-  /// Returns whether a call is bad and how long it takes.
-  using Behaviour = std::function<std::pair<bool, Micros>(double Seconds)>;
+  /// Returns whether a call is bad and how long it takes, by the time since
+  /// the order and the target's share of the calls (0 to 1).
+  using Behaviour =
+      std::function<std::pair<bool, Micros>(double Seconds, double Share)>;
 
   struct Result {
     RolloutDecision::Kind End = RolloutDecision::Kind::Hold;
@@ -96,12 +98,13 @@
     Evidence.merge(Tallies[0]);
     Result Played;
     std::uint32_t Share = 0;
+    std::uint32_t Fallbacks = 0;
     double ShareSince = 0;
     std::bernoulli_distribution Chosen(0.0);
     for (double Now = Step; Now < Duration; Now += Step) {
       for (int Call = 0; Call < CallsPerSecond * Step; ++Call) {
         const bool Target = std::bernoulli_distribution(Share / 1000.0)(Random);
-        const auto [Bad, Taken] = (Target ? New : Old)(Now);
+        const auto [Bad, Taken] = (Target ? New : Old)(Now, Share / 1000.0);
         proto::RolloutTally &Tally = Tallies[Target ? 1 : 0];
         Tally.set_calls(Tally.calls() + 1);
         if (Bad) {
@@ -121,12 +124,14 @@
       Situation.Duration = Millis(15000);
       Situation.SharePermille = Share;
       Situation.AtShare = Millis(static_cast<int>((Now - ShareSince) * 1000));
+      Situation.Fallbacks = Fallbacks;
       Situation.TargetSlots = 27;
       Situation.OtherSlots = 27;
       const RolloutDecision Next =
           decideRollout(ExposureLimits{}, Situation, Evidence.byRoute());
       Played.EndedAt = Now;
       if (Next.Action == RolloutDecision::Kind::SetShare) {
+        Fallbacks += Next.SharePermille < Share ? 1 : 0;
         Share = Next.SharePermille;
         ShareSince = Now;
       } else if (Next.Action != RolloutDecision::Kind::Hold) {
@@ -148,7 +153,7 @@
 TEST_CASE("a good version is completed in time") {
   for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
     std::mt19937_64 Random(Seed * 7919);
-    const auto Good = [&Random](double) { return usualCall(Random); };
+    const auto Good = [&Random](double, double) { return usualCall(Random); };
     const SimulatedRollout::Result Played =
         SimulatedRollout::play(Good, Good, 60, Seed);
     CAPTURE(Seed);
@@ -158,15 +163,18 @@
 
 /// Plays a bad version with many seeds and checks that it is taken back before
 /// it has had more than a tenth of the calls and fifty.
-void checkTakenBack(
-    const std::function<std::pair<bool, Micros>(std::mt19937_64 &, double)>
-        &Bad,
-    double CallsPerSecond) {
+void checkTakenBack(const std::function<std::pair<bool, Micros>(
+                        std::mt19937_64 &, double, double)> &Bad,
+                    double CallsPerSecond, double OldFailureRate = 0) {
   for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
     std::mt19937_64 Random(Seed * 104729);
     const SimulatedRollout::Result Played = SimulatedRollout::play(
-        [&Random](double) { return usualCall(Random); },
-        [&Random, &Bad](double Now) { return Bad(Random, Now); },
+        [&](double, double) {
+          std::pair<bool, Micros> Call = usualCall(Random);
+          Call.first |= std::bernoulli_distribution(OldFailureRate)(Random);
+          return Call;
+        },
+        [&](double Now, double Share) { return Bad(Random, Now, Share); },
         CallsPerSecond, Seed);
     CAPTURE(Seed);
     CHECK(Played.End == RolloutDecision::Kind::RollBack);
@@ -177,7 +185,7 @@
 
 TEST_CASE("a version that fails half of its calls is taken back") {
   checkTakenBack(
-      [](std::mt19937_64 &Random, double) {
+      [](std::mt19937_64 &Random, double, double) {
         std::pair<bool, Micros> Call = usualCall(Random);
         Call.first |= std::bernoulli_distribution(0.5)(Random);
         return Call;
@@ -190,7 +198,7 @@
 // version had 70% of the calls.
 TEST_CASE("a version that slows half of its calls is taken back") {
   checkTakenBack(
-      [](std::mt19937_64 &Random, double) {
+      [](std::mt19937_64 &Random, double, double) {
         std::pair<bool, Micros> Call = usualCall(Random);
         if (std::bernoulli_distribution(0.45)(Random))
           Call.second *= 8;
@@ -201,7 +209,7 @@
 
 TEST_CASE("a version that turns bad after three seconds is taken back") {
   checkTakenBack(
-      [](std::mt19937_64 &Random, double Now) {
+      [](std::mt19937_64 &Random, double Now, double) {
         std::pair<bool, Micros> Call = usualCall(Random);
         Call.first |= Now > 3 && std::bernoulli_distribution(0.45)(Random);
         return Call;
@@ -209,6 +217,20 @@
       60);
 }
 
+// Found by playing days: a version that failed a fifth of its calls from a
+// share of 40% on stayed there for three seconds, since the calls before had
+// been good.
+TEST_CASE("a version that fails only under load is taken back") {
+  checkTakenBack(
+      [](std::mt19937_64 &Random, double, double Share) {
+        std::pair<bool, Micros> Call = usualCall(Random);
+        const double Rate = Share > 0.3 ? 0.21 : 0.03;
+        Call.first |= std::bernoulli_distribution(Rate)(Random);
+        return Call;
+      },
+      165, 0.02);
+}
+
 TEST_CASE("tallies that arrive twice, late or not at all add up once") {
   RolloutEvidence Evidence("v2");
   proto::RolloutTally Tally;
