Take up a restarted node's upstream from the store; ask everybody for a configuration

Two changes that meet in MeshNode.

Ruled out: reading the configuration (50 ms after the start), connections between nodes (open by then). Change: a node's entry on the store names its upstream; a node that starts again takes it up once a health check shows that the same instance is there and well. A call that arrives while a node starts is held for an eighth of its caller's patience at most, until it can be placed. The entry is stored when the upstream is known, so that it stays at one call; a restart whose entry has not changed makes one call less. Also: which version takes calls without an order no longer depends on which upstream was heard of first.

What the code shows: a question for a configuration was asked only when a datagram came, of the node that sent it, over a link that may be silent, and other data centres heard of a version only by chance. Change: ConfigurationSources keeps who has what and asks again each 0.4 s, in turn, also other data centres after 0.8 s; followers tell one node of each other data centre; a node that stays behind for 1.2 s reads the store itself. Tests: mesh_test, fleet_test, platform_test. The test of a caller that leaves raced with an answer that was there already: it now waits until the node has noticed, and checks the same.

--- a/persimmonquay/daemon/gossip.cc
+++ b/persimmonquay/daemon/gossip.cc
@@ -70,7 +70,7 @@
 
 void Gossip::announce() { this->sendEverywhere(this->message()); }
 
-void Gossip::announceConfiguration() { this->sendNear(this->message()); }
+void Gossip::announceNear() { this->sendNear(this->message()); }
 
 void Gossip::greet(const std::vector<proto::NodeEntry> &Listed) {
   this->announce();
--- a/persimmonquay/daemon/header_names.h
+++ b/persimmonquay/daemon/header_names.h
@@ -16,6 +16,8 @@
   std::string Proof = "x-pq-proof";
   /// Upstream that is meant; another one answers 421.
   std::string Instance = "x-pq-instance";
+  /// In the answer to a health check: the upstream that answers.
+  std::string AnsweringInstance = "x-pq-answering-instance";
   /// In an answer: the upstream's running and waiting calls and slots.
   std::string Load = "x-pq-load";
   /// In an answer: the upstream did not run the call.
--- a/persimmonquay/fleet/fleet_test.cc
+++ b/persimmonquay/fleet/fleet_test.cc
@@ -112,6 +112,37 @@
   CHECK(Registry.upstream()->instance() == "i-2");
 }
 
+TEST_CASE("a stored upstream is restored until its heartbeat comes") {
+  UpstreamRegistry Registry;
+  const MonoTime Now = monoNow();
+  UpstreamRegistry Earlier;
+  Earlier.apply(beatOf("i-1", 1000, 7), Now);
+  CHECK(Registry.restore(*Earlier.upstream(), Now));
+  CHECK(Registry.upstream()->instance() == "i-1");
+  // The same state as before: nobody needs to be told.
+  CHECK_FALSE(Registry.apply(beatOf("i-1", 1000, 8), Now));
+  Heartbeat Draining = beatOf("i-1", 1000, 9);
+  Draining.Draining = true;
+  CHECK(Registry.apply(Draining, Now));
+}
+
+TEST_CASE("a stored upstream that was heard of since is not restored") {
+  const MonoTime Now = monoNow();
+  UpstreamRegistry Earlier;
+  Earlier.apply(beatOf("i-1", 1000, 7), Now);
+  UpstreamRegistry Known;
+  Known.apply(beatOf("i-2", 2000, 1), Now);
+  CHECK_FALSE(Known.restore(*Earlier.upstream(), Now));
+  CHECK(Known.upstream()->instance() == "i-2");
+  UpstreamRegistry HasLeft;
+  HasLeft.leave("i-1", 1000);
+  CHECK_FALSE(HasLeft.restore(*Earlier.upstream(), Now));
+  CHECK_FALSE(HasLeft.apply(beatOf("i-1", 1000, 8), Now));
+  proto::UpstreamEntry Draining = *Earlier.upstream();
+  Draining.set_draining(true);
+  CHECK_FALSE(UpstreamRegistry().restore(Draining, Now));
+}
+
 TEST_CASE("a silent upstream is withdrawn") {
   UpstreamRegistry Registry;
   const MonoTime Now = monoNow();
--- a/persimmonquay/fleet/upstream_registry.cc
+++ b/persimmonquay/fleet/upstream_registry.cc
@@ -31,8 +31,26 @@
   return Changed;
 }
 
+bool UpstreamRegistry::restore(const proto::UpstreamEntry &Stored,
+                               MonoTime Now) {
+  if (!this->Instance.empty() || Stored.draining())
+    return false;
+  this->Instance = Stored.instance();
+  this->StartedUnixMs = Stored.started_unix_ms();
+  this->Heard = Now;
+  this->Current = Stored;
+  return true;
+}
+
 bool UpstreamRegistry::leave(const std::string &Leaving,
                              std::uint64_t Started) {
+  if (this->Instance.empty()) {
+    // What is stored of it must not be restored.
+    this->Instance = Leaving;
+    this->StartedUnixMs = Started;
+    this->Left = true;
+    return false;
+  }
   if (Leaving != this->Instance ||
       (Started != 0 && Started < this->StartedUnixMs))
     return false;
--- a/persimmonquay/fleet/upstream_registry.h
+++ b/persimmonquay/fleet/upstream_registry.h
@@ -40,6 +40,10 @@
 
   bool apply(const Heartbeat &Beat, MonoTime Now);
 
+  /// Takes over what was stored of the upstream before this node's start;
+  /// unless a heartbeat has come since. Its next heartbeat replaces this.
+  bool restore(const proto::UpstreamEntry &Stored, MonoTime Now);
+
   /// The upstream leaves. `StartedUnixMs` is 0 where it isn't stated.
   bool leave(const std::string &Instance, std::uint64_t StartedUnixMs);
 
@@ -56,6 +60,9 @@
     return this->Current;
   }
 
+  /// Returns whether an upstream has ever registered or left here.
+  bool isHeardOf() const { return !this->Instance.empty(); }
+
 private:
   std::optional<proto::UpstreamEntry> Current;
   std::string Instance;
--- a/persimmonquay/mesh/mesh_test.cc
+++ b/persimmonquay/mesh/mesh_test.cc
@@ -1,4 +1,5 @@
 #include "persimmonquay/mesh/configuration_delta.h"
+#include "persimmonquay/mesh/configuration_sources.h"
 #include "persimmonquay/mesh/route_table.h"
 #include "persimmonquay/mesh/traffic_split.h"
 #include <cmath>
@@ -116,5 +117,63 @@
   CHECK(Counts[3] == 0);
 }
 
+bool anyone(const std::string &) { return true; }
+
+/// Returns the node that is asked, or nothing.
+std::string asked(ConfigurationSources &Sources, std::uint64_t Have,
+                  MonoTime Now,
+                  const std::function<bool(const std::string &)> &IsReachable) {
+  const auto Question = Sources.next(Have, Now, IsReachable);
+  return Question ? Question->Node : "";
+}
+
+TEST_CASE("a newer configuration is asked for at once where it is near") {
+  const MonoTime Start = monoNow();
+  ConfigurationSources Sources;
+  CHECK_FALSE(Sources.next(7, Start, anyone));
+  Sources.told("far", false, 9, Start);
+  Sources.told("near", true, 9, Start);
+  CHECK(asked(Sources, 7, Start, anyone) == "near");
+  // The answer may still come; a yet newer version is asked for at once.
+  CHECK_FALSE(Sources.next(7, Start + Millis(50), anyone));
+  Sources.told("near", true, 12, Start + Millis(60));
+  CHECK(asked(Sources, 7, Start + Millis(60), anyone) == "near");
+  CHECK_FALSE(Sources.next(12, Start + Millis(5000), anyone));
+  CHECK_FALSE(Sources.behindSince());
+}
+
+TEST_CASE("an unanswered question goes to another node that has it") {
+  const MonoTime Start = monoNow();
+  ConfigurationSources Sources;
+  Sources.told("a", true, 9, Start);
+  Sources.told("b", true, 9, Start);
+  const std::string First = asked(Sources, 7, Start, anyone);
+  const std::string Second = asked(Sources, 7, Start + Millis(400), anyone);
+  CHECK(First + Second != First + First);
+  CHECK(First.size() + Second.size() == 2);
+}
+
+// Found by playing days: the followers of a data centre were cut off from the
+// store, and nobody there asked elsewhere in time.
+TEST_CASE("other data centres are asked when the own one does not deliver") {
+  const MonoTime Start = monoNow();
+  ConfigurationSources Sources;
+  Sources.told("far", false, 9, Start);
+  CHECK_FALSE(Sources.next(7, Start + Millis(500), anyone));
+  // Told only once: time alone makes it due.
+  CHECK(asked(Sources, 7, Start + Millis(800), anyone) == "far");
+  CHECK(Sources.behindSince() == Start);
+}
+
+TEST_CASE("a node without a connection is not asked") {
+  const MonoTime Start = monoNow();
+  ConfigurationSources Sources;
+  Sources.told("lost", true, 9, Start);
+  Sources.told("up", true, 9, Start);
+  const auto IsUp = [](const std::string &Node) { return Node == "up"; };
+  CHECK(asked(Sources, 7, Start, IsUp) == "up");
+  CHECK(asked(Sources, 7, Start + Millis(400), IsUp) == "up");
+}
+
 } // namespace
 } // namespace persimmonquay
--- a/testing/platform/app_stand_in.cc
+++ b/testing/platform/app_stand_in.cc
@@ -24,6 +24,11 @@
       Body.size(), "\r\n\r\n", Body);
 }
 
+std::string healthAnswer(const std::string &Instance) {
+  return absl::StrCat("HTTP/1.1 200 OK\r\nX-Persimmonquay-Instance-Id: ",
+                      Instance, "\r\nContent-Length: 0\r\n\r\n");
+}
+
 AppStandIn::AppStandIn(Behaviour Told)
     : Answers(std::move(Told)),
       Listener(Poco::Net::SocketAddress("127.0.0.1", 0)) {
--- a/testing/platform/app_stand_in.h
+++ b/testing/platform/app_stand_in.h
@@ -27,6 +27,9 @@
 std::string answerTo(const ReceivedRequest &Request, int Status = 200,
                      const std::string &Body = "whole body");
 
+/// Returns what an upstream that is well answers to a health check.
+std::string healthAnswer(const std::string &Instance);
+
 inline constexpr char ThenClose = '!';
 
 /// Listens on a port of 127.0.0.1 and answers as told, byte for byte.
--- a/testing/platform/small_mesh.cc
+++ b/testing/platform/small_mesh.cc
@@ -83,7 +83,10 @@
   Place->Version = Version;
   Place->StartedUnixMs = static_cast<std::uint64_t>(unixMillis(wallNow()));
   Place->App = std::make_unique<AppStandIn>(
-      [](const ReceivedRequest &Request) { return answerTo(Request); });
+      [Instance = Place->Instance](const ReceivedRequest &Request) {
+        return Request.Target == "/health" ? healthAnswer(Instance)
+                                           : answerTo(Request);
+      });
   MeshPlace &Added = *Place;
   this->Places.push_back(std::move(Place));
   choosePorts(Added);
