Ask another data centre before a long body is sent there

One node sent 1.45 MB of calls elsewhere and got 53 kB of answers: bookings of 4 kB, offered twice and turned away there. Ruled out: configurations (16 kB in all), gossip (21 kB), rejections (0.4 MB). Change: a call with 1 kB of body or more is sent to another data centre only after its gate has said that it would take it. The question holds no slot; a call that finds the room gone is turned away as before. Also: a node counts as behind only while its configuration stands still. Tests: traffic_test, daemon_test, platform_test, mesh_test.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -68,6 +68,13 @@
 /// limited.
 constexpr double PlainLinesPerSecond = 4;
 
+/// Body from which another data centre is asked whether it would take a call
+/// before the call is sent: several times the question and its answer.
+constexpr std::size_t MinBodyToAsk = 1024;
+
+/// Time for the answer to that question; several round trips.
+constexpr Millis QuestionTimeout{250};
+
 /// Part of a caller's patience for which a call is held while the node starts;
 /// a rejected caller would return after about as long.
 constexpr int HoldPartOfPatience = 8;
@@ -492,16 +499,31 @@
   return Best;
 }
 
-proto::CallRequest CallRouter::callRequest(const Call &Asked, const Target &To,
-                                           Micros MaxWait) const {
-  const HttpRequest &Message = Asked.Request->Message;
+proto::CallRequest CallRouter::question(const Call &Asked, const Target &To,
+                                        Micros MaxWait) const {
   const MonoTime Now = monoNow();
   proto::CallRequest Result;
-  Result.set_request_id(Asked.RequestId);
+  Result.set_only_ask(true);
   Result.set_service(Asked.Service);
   Result.set_route(Asked.Route->name());
-  Result.set_calling_service(this->Parts.OwnService);
   Result.set_instance(To.Entry.upstream().instance());
+  Result.set_remaining_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(
+      std::chrono::duration_cast<Millis>(Asked.Deadline - Now).count(), 0)));
+  Result.set_objective_ms(static_cast<std::int32_t>(
+      std::chrono::duration_cast<Millis>(Asked.Objective - Now).count()));
+  Result.set_priority(Asked.Route->priority());
+  Result.set_max_wait_ms(static_cast<std::uint32_t>(
+      std::chrono::duration_cast<Millis>(MaxWait).count()));
+  return Result;
+}
+
+proto::CallRequest CallRouter::callRequest(const Call &Asked, const Target &To,
+                                           Micros MaxWait) const {
+  const HttpRequest &Message = Asked.Request->Message;
+  proto::CallRequest Result = this->question(Asked, To, MaxWait);
+  Result.clear_only_ask();
+  Result.set_request_id(Asked.RequestId);
+  Result.set_calling_service(this->Parts.OwnService);
   Result.set_method(std::string(Message.method_string()));
   Result.set_target(std::string(Message.target()));
   for (const auto &Field : Message) {
@@ -517,20 +539,45 @@
     Copy->set_value(std::string(Field.value()));
   }
   Result.set_body(Message.body());
-  Result.set_remaining_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(
-      std::chrono::duration_cast<Millis>(Asked.Deadline - Now).count(), 0)));
-  Result.set_objective_ms(static_cast<std::int32_t>(
-      std::chrono::duration_cast<Millis>(Asked.Objective - Now).count()));
-  Result.set_priority(Asked.Route->priority());
   Result.set_idempotent(Asked.Route->idempotent());
-  Result.set_max_wait_ms(static_cast<std::uint32_t>(
-      std::chrono::duration_cast<Millis>(MaxWait).count()));
   Result.set_configuration_version(Asked.Routes->version());
   return Result;
 }
 
 asio::awaitable<bool> CallRouter::offer(const std::shared_ptr<Call> &Asked,
                                         Target &To, Micros MaxWait) {
+  const bool AskFirst =
+      !To.View.isLocal() &&
+      Asked->Request->Message.body().size() >= internal::MinBodyToAsk;
+  if (AskFirst) {
+    co_await this->exchange(Asked, To, this->question(*Asked, To, MaxWait),
+                            monoNow() + internal::QuestionTimeout);
+    if (Asked->Request->CallerLeft)
+      co_return false;
+    if (!Asked->Reply || Asked->Reply->outcome() != proto::WOULD_TAKE) {
+      // Whatever became of the question, the call itself was not sent.
+      proto::CallReply Refusal =
+          std::move(Asked->Reply).value_or(proto::CallReply());
+      Refusal.set_outcome(proto::NOT_RUN);
+      Refusal.set_arrived(false);
+      Asked->Reply = std::move(Refusal);
+      co_return true;
+    }
+  }
+  co_await this->exchange(Asked, To, this->callRequest(*Asked, To, MaxWait),
+                          Asked->Deadline + internal::DeadlineGrace);
+  if (Asked->Reply)
+    co_return true;
+  this->Parts.Counts.noteOffer(To.View.isLocal(), OfferEnd::GivenUp);
+  Asked->LastReason = "no reply from the node in time";
+  Asked->MayHaveRun = true;
+  co_return false;
+}
+
+asio::awaitable<void> CallRouter::exchange(const std::shared_ptr<Call> &Asked,
+                                           Target &To,
+                                           proto::CallRequest Request,
+                                           MonoTime Until) {
   const std::uint64_t Attempt = ++Asked->Attempt;
   Asked->Reply.reset();
   auto Handler = [Asked, Attempt](proto::CallReply Reply) {
@@ -540,29 +587,24 @@
     Asked->Request->Wake.cancel();
   };
   To.View.noteSent();
-  proto::CallRequest Request = this->callRequest(*Asked, To, MaxWait);
   const std::shared_ptr<PeerLink> Link = To.Link;
   const std::uint64_t Ticket =
       Link ? Link->submit(std::move(Request), Handler)
            : this->Parts.OwnGate.submit(std::move(Request), Handler);
   while (!Asked->Reply && !Asked->Request->CallerLeft) {
-    Asked->Request->Wake.expires_at(Asked->Deadline + internal::DeadlineGrace);
+    Asked->Request->Wake.expires_at(Until);
     const auto [Error] = co_await Asked->Request->Wake.async_wait(NoThrow);
     if (!Error)
       break;
   }
   To.View.noteEnded();
   if (Asked->Reply)
-    co_return true;
-  this->Parts.Counts.noteOffer(To.View.isLocal(), OfferEnd::GivenUp);
-  Asked->LastReason = "no reply from the node in time";
+    co_return;
   ++Asked->Attempt;
   if (Link)
     Link->cancel(Ticket);
   else
     this->Parts.OwnGate.cancel(Ticket);
-  Asked->MayHaveRun = true;
-  co_return false;
 }
 
 void CallRouter::noteReply(Call &Asked, Target &To,
--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -96,9 +96,14 @@
   asio::awaitable<HttpResponse> forward(std::shared_ptr<Call> Asked);
   asio::awaitable<bool> offer(const std::shared_ptr<Call> &Asked, Target &To,
                               std::chrono::microseconds MaxWait);
+  asio::awaitable<void> exchange(const std::shared_ptr<Call> &Asked, Target &To,
+                                 proto::CallRequest Request, MonoTime Until);
   std::vector<std::shared_ptr<Target>> candidates(Call &Asked);
   std::shared_ptr<Target> nextTarget(Call &Asked, Micros *MaxWait);
   std::shared_ptr<Target> bestKnown(Call &Asked, Micros *MaxWait);
+  /// Asks whether the call would be taken, without its content.
+  proto::CallRequest question(const Call &Asked, const Target &To,
+                              Micros MaxWait) const;
   proto::CallRequest callRequest(const Call &Asked, const Target &To,
                                  Micros MaxWait) const;
   bool mayRepeat(Call &Asked, const proto::CallReply &Reply);
--- a/persimmonquay/daemon/daemon_test.cc
+++ b/persimmonquay/daemon/daemon_test.cc
@@ -1,5 +1,7 @@
 #include "persimmonquay/daemon/caller_server.h"
+#include "persimmonquay/daemon/metrics.h"
 #include "persimmonquay/daemon/sockets.h"
+#include "persimmonquay/daemon/upstream_gate.h"
 #include <boost/asio/connect.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
@@ -108,5 +110,32 @@
   Fixture.runUntil([&] { return Fixture.Server->connections() == 0; });
 }
 
+TEST_CASE("a gate answers a question without taking the call") {
+  asio::io_context Context;
+  Metrics Counts;
+  UpstreamGate Gate(Context, HeaderNames{}, Tcp::endpoint(), Counts);
+  proto::CallRequest Question;
+  Question.set_only_ask(true);
+  Question.set_id(7);
+  Question.set_service("gallery");
+  Question.set_instance("i-1");
+  Question.set_remaining_ms(1500);
+  Question.set_objective_ms(400);
+  CHECK(Gate.wouldTake(Question).outcome() == proto::NOT_RUN);
+
+  proto::UpstreamEntry Upstream;
+  Upstream.set_service("gallery");
+  Upstream.set_instance("i-1");
+  Upstream.set_slots(2);
+  Gate.setUpstream(Upstream);
+  const proto::CallReply Reply = Gate.wouldTake(Question);
+  CHECK(Reply.outcome() == proto::WOULD_TAKE);
+  CHECK(Reply.id() == 7);
+  CHECK(Gate.callsUnderWay() == 0);
+
+  Question.set_instance("i-2");
+  CHECK(Gate.wouldTake(Question).outcome() == proto::NOT_RUN);
+}
+
 } // namespace
 } // namespace persimmonquay
--- a/persimmonquay/daemon/link_server.cc
+++ b/persimmonquay/daemon/link_server.cc
@@ -73,7 +73,9 @@
   auto Tickets = std::make_shared<std::map<std::uint64_t, std::uint64_t>>();
   const std::weak_ptr<FrameChannel> Target = Channel;
   while (std::optional<proto::LinkFrame> Frame = co_await Channel->receive()) {
-    if (Frame->has_call()) {
+    if (Frame->has_call() && Frame->call().only_ask()) {
+      internal::sendReply(Target, this->Upstream.wouldTake(Frame->call()));
+    } else if (Frame->has_call()) {
       const std::uint64_t Id = Frame->call().id();
       (*Tickets)[Id] = 0;
       const std::uint64_t Ticket =
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -141,6 +141,41 @@
       Millis(1)));
 }
 
+QueuedCall UpstreamGate::queuedCall(std::uint64_t Ticket,
+                                    const proto::CallRequest &Asked,
+                                    MonoTime Now) const {
+  const WorkEstimate Expected = this->expectedWork(Asked);
+  return {Ticket,
+          Asked.priority(),
+          Now + Millis(Asked.objective_ms()),
+          Now + Millis(Asked.remaining_ms()),
+          Expected.mean(),
+          Expected.likely()};
+}
+
+proto::CallReply
+UpstreamGate::wouldTake(const proto::CallRequest &Question) const {
+  proto::CallReply Reply;
+  Reply.set_id(Question.id());
+  Reply.set_outcome(proto::WOULD_TAKE);
+  *Reply.mutable_load() = this->load();
+  std::optional<std::string> Why = this->whyUnavailable(Question);
+  if (!Why) {
+    const MonoTime Now = monoNow();
+    const std::optional<RejectedCall> Rejected =
+        this->Queue.whyRejected(this->queuedCall(0, Question, Now),
+                                Millis(Question.max_wait_ms()), Now);
+    if (!Rejected)
+      return Reply;
+    Why = std::string(Rejected->Reason);
+    Reply.set_retry_after_ms(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<Millis>(Rejected->RetryAfter).count()));
+  }
+  Reply.set_outcome(proto::NOT_RUN);
+  Reply.set_reason(*Why);
+  return Reply;
+}
+
 std::uint64_t UpstreamGate::submit(proto::CallRequest Request,
                                    ReplyHandler Handler) {
   const MonoTime Now = monoNow();
@@ -158,15 +193,8 @@
     return Ticket;
   }
   const proto::CallRequest &Asked = Offered->Request;
-  const WorkEstimate Expected = this->expectedWork(Asked);
-  const QueuedCall Queued{Ticket,
-                          Asked.priority(),
-                          Now + Millis(Asked.objective_ms()),
-                          Offered->Deadline,
-                          Expected.mean(),
-                          Expected.likely()};
-  const Admission Result =
-      this->Queue.offer(Queued, Millis(Asked.max_wait_ms()), Now);
+  const Admission Result = this->Queue.offer(
+      this->queuedCall(Ticket, Asked, Now), Millis(Asked.max_wait_ms()), Now);
   this->rejectAll(Result.Displaced);
   if (Result.Verdict == AdmissionVerdict::Reject)
     this->reject(Result.Rejection);
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -70,6 +70,9 @@
   /// what the upstream calls meanwhile has that deadline too.
   bool runsUntil(MonoTime Deadline) const;
 
+  /// Answers the question whether a call would be taken now.
+  proto::CallReply wouldTake(const proto::CallRequest &Question) const;
+
   proto::LoadReport load() const;
   std::size_t callsUnderWay() const { return this->Calls.size(); }
   const std::optional<proto::UpstreamEntry> &upstream() const {
@@ -82,6 +85,8 @@
 
   std::optional<std::string> whyUnavailable(const proto::CallRequest &) const;
   WorkEstimate expectedWork(const proto::CallRequest &) const;
+  QueuedCall queuedCall(std::uint64_t Ticket, const proto::CallRequest &Asked,
+                        MonoTime Now) const;
   void start(std::uint64_t Ticket);
   void startWaiting();
   void reject(const RejectedCall &Rejected);
--- a/persimmonquay/mesh/configuration_sources.cc
+++ b/persimmonquay/mesh/configuration_sources.cc
@@ -27,6 +27,11 @@
 std::optional<ConfigurationSources::Question> ConfigurationSources::next(
     std::uint64_t Have, MonoTime Now,
     const std::function<bool(const std::string &)> &IsReachable) {
+  // While changes follow each other quickly there is always a newer one; only
+  // standing still shows that nobody delivers.
+  if (Have > this->LastHave.value_or(Have))
+    this->BehindSince = Now;
+  this->LastHave = Have;
   std::erase_if(this->Sources, [Have](const auto &Item) {
     return Item.second.Version <= Have;
   });
--- a/persimmonquay/mesh/configuration_sources.h
+++ b/persimmonquay/mesh/configuration_sources.h
@@ -48,8 +48,8 @@
 
   // Queries.
 
-  /// Returns since when a newer version than the own one has been known, as of
-  /// the last `next()`.
+  /// Returns since when a newer version than the own one has been known and the
+  /// own one has not changed, as of the last `next()`.
   std::optional<MonoTime> behindSince() const { return this->BehindSince; }
 
 private:
@@ -61,6 +61,7 @@
 
   std::map<std::string, Source> Sources;
   std::optional<MonoTime> BehindSince;
+  std::optional<std::uint64_t> LastHave;
   std::uint64_t AskedVersion = 0;
   MonoTime AskedAt;
 };
--- a/persimmonquay/mesh/mesh_test.cc
+++ b/persimmonquay/mesh/mesh_test.cc
@@ -165,6 +165,23 @@
   CHECK(Sources.behindSince() == Start);
 }
 
+// Found by playing days: while changes came each 0.2 s, every node turned to
+// the store and to other data centres.
+TEST_CASE("a node that keeps up with quick changes is not behind for long") {
+  const MonoTime Start = monoNow();
+  ConfigurationSources Sources;
+  MonoTime Now = Start;
+  for (std::uint64_t Version = 8; Version < 40; ++Version) {
+    Now += Millis(200);
+    Sources.told("far", false, Version, Now);
+    // The one before has just arrived from nearby.
+    CHECK_FALSE(Sources.next(Version - 1, Now, anyone));
+    REQUIRE(Sources.behindSince());
+    CHECK(Now - *Sources.behindSince() <= Millis(200));
+  }
+  CHECK(asked(Sources, 38, Now + Millis(800), anyone) == "far");
+}
+
 TEST_CASE("a node without a connection is not asked") {
   const MonoTime Start = monoNow();
   ConfigurationSources Sources;
--- a/persimmonquay/traffic/admission_queue.cc
+++ b/persimmonquay/traffic/admission_queue.cc
@@ -156,18 +156,14 @@
                   Wait - std::max(Fits / 2, Micros{0}));
 }
 
-Admission AdmissionQueue::offer(const QueuedCall &Call, Micros MaxWait,
-                                MonoTime Now) {
-  Admission Result;
-  if (this->Running.size() < this->Slots && this->Waiting.empty()) {
-    if (Now < Call.Deadline) {
-      this->Running.push_back({Call.Id, Now, Call.Work});
-      return Result;
-    }
-    Result.Verdict = AdmissionVerdict::Reject;
-    Result.Rejection = {Call.Id, "the deadline has passed",
+std::optional<RejectedCall> AdmissionQueue::whyRejected(const QueuedCall &Call,
+                                                        Micros MaxWait,
+                                                        MonoTime Now) const {
+  if (this->hasRoom()) {
+    if (Now < Call.Deadline)
+      return std::nullopt;
+    return RejectedCall{Call.Id, "the deadline has passed",
                         internal::MinRetryAfter};
-    return Result;
   }
   const Micros Wait = this->predictedWait(Call, Now);
   std::optional<std::string_view> Why = this->whyHopeless(Call, Wait, Now);
@@ -175,11 +171,25 @@
     Why = BusyReason;
   if (!Why && this->Waiting.size() >= internal::MaxWaitingCalls)
     Why = "the queue is full";
-  if (Why) {
+  if (!Why)
+    return std::nullopt;
+  return RejectedCall{Call.Id, *Why, this->timeToRoom(Call, Wait, Now)};
+}
+
+Admission AdmissionQueue::offer(const QueuedCall &Call, Micros MaxWait,
+                                MonoTime Now) {
+  Admission Result;
+  if (const std::optional<RejectedCall> Rejected =
+          this->whyRejected(Call, MaxWait, Now)) {
     Result.Verdict = AdmissionVerdict::Reject;
-    Result.Rejection = {Call.Id, *Why, this->timeToRoom(Call, Wait, Now)};
+    Result.Rejection = *Rejected;
     return Result;
   }
+  if (this->hasRoom()) {
+    this->Running.push_back({Call.Id, Now, Call.Work});
+    return Result;
+  }
+  const Micros Wait = this->predictedWait(Call, Now);
   this->Waiting.push_back(
       {Call, Now, this->NextSequence++, internal::nextCheck(Call, Wait, Now)});
   Result.Verdict = AdmissionVerdict::Wait;
--- a/persimmonquay/traffic/admission_queue.h
+++ b/persimmonquay/traffic/admission_queue.h
@@ -104,6 +104,11 @@
 
   // Queries.
 
+  /// Returns why `offer()` would reject the call now, or none when it would
+  /// take it.
+  std::optional<RejectedCall> whyRejected(const QueuedCall &Call,
+                                          Micros MaxWait, MonoTime Now) const;
+
   /// Returns how long `Call` would wait if it arrived now.
   Micros predictedWait(const QueuedCall &Call, MonoTime Now) const;
 
@@ -131,6 +136,10 @@
     MonoTime NextCheck;
   };
 
+  /// Whether a call that arrives now gets a slot at once.
+  bool hasRoom() const {
+    return this->Running.size() < this->Slots && this->Waiting.empty();
+  }
   bool isLate(const QueuedCall &Call, MonoTime Now) const;
   bool isShort(const QueuedCall &Call) const;
   bool goesBefore(const WaitingCall &Left, const WaitingCall &Right,
--- a/persimmonquay/traffic/traffic_test.cc
+++ b/persimmonquay/traffic/traffic_test.cc
@@ -40,6 +40,22 @@
   CHECK(Queue.waiting() == 1);
 }
 
+TEST_CASE("asking whether a call would be taken changes nothing") {
+  AdmissionQueue Queue(1);
+  const MonoTime Now = monoNow();
+  const QueuedCall First =
+      callOf(1, Now, Millis(400), Millis(1500), Millis(100));
+  const QueuedCall Second =
+      callOf(2, Now, Millis(400), Millis(1500), Millis(100));
+  CHECK_FALSE(Queue.whyRejected(First, Micros{0}, Now));
+  CHECK(Queue.running() == 0);
+  Queue.offer(First, Micros{0}, Now);
+  CHECK_FALSE(Queue.whyRejected(Second, NoLimit, Now));
+  REQUIRE(Queue.whyRejected(Second, Micros{0}, Now));
+  CHECK(Queue.whyRejected(Second, Micros{0}, Now)->Reason == BusyReason);
+  CHECK(Queue.waiting() == 0);
+}
+
 TEST_CASE("a call that can't end on time is rejected when it arrives") {
   AdmissionQueue Queue(1);
   const MonoTime Now = monoNow();
--- a/testing/platform/platform_test.cc
+++ b/testing/platform/platform_test.cc
@@ -139,6 +139,26 @@
     CHECK(Mesh.call(Caller, {.Id = absl::StrCat("safe-", I)}).Status == 200);
 }
 
+// Found by playing days: most bytes between data centres were the bodies of
+// calls that were then turned away there.
+TEST_CASE("a long body crosses to another data centre only where it is taken") {
+  SmallMesh Mesh;
+  MeshPlace &Caller = Mesh.add("orders");
+  MeshPlace &Far = Mesh.add("gallery", "v1", "there");
+  Mesh.publish(5, "gallery");
+  REQUIRE(Mesh.waitUntilReady());
+  const MeshCall Long = {
+      .Method = "POST", .Target = "/orders/1", .Body = std::string(5000, 'x')};
+  REQUIRE(eventually(Patience,
+                     [&] { return Mesh.call(Caller, Long).Status == 200; }));
+  CHECK(Far.App->received().back().Body == Long.Body);
+
+  REQUIRE(Mesh.heartbeat(Far, "draining") == 200);
+  const std::size_t Before = Far.App->received().size();
+  CHECK(Mesh.call(Caller, Long).Status == 503);
+  CHECK(Far.App->received().size() == Before);
+}
+
 // Found by playing days: an upstream that resets part of its calls got each of
 // them twice, beside what the budget for repeats counted.
 TEST_CASE("a call that breaks off on a connection in use is not sent again") {
--- a/testing/platform/small_mesh.cc
+++ b/testing/platform/small_mesh.cc
@@ -75,12 +75,14 @@
 }
 
 MeshPlace &SmallMesh::add(const std::string &Service,
-                          const std::string &Version) {
+                          const std::string &Version,
+                          const std::string &DataCentre) {
   auto Place = std::make_unique<MeshPlace>();
   Place->Name = absl::StrCat("node-", this->Places.size() + 1);
   Place->Instance = absl::StrCat("i-", this->Places.size() + 1);
   Place->Service = Service;
   Place->Version = Version;
+  Place->DataCentre = DataCentre;
   Place->StartedUnixMs = static_cast<std::uint64_t>(unixMillis(wallNow()));
   Place->App = std::make_unique<AppStandIn>(
       [Instance = Place->Instance](const ReceivedRequest &Request) {
@@ -108,7 +110,7 @@
       absl::StrCat(this->Directory, "/", Place.Name, ".json");
   const Json Values = {
       {"node", Place.Name},
-      {"data_centre", "here"},
+      {"data_centre", Place.DataCentre},
       {"address", "127.0.0.1"},
       {"caller_address", addressOf(Place.CallerPort)},
       {"link_address", addressOf(Place.LinkPort)},
@@ -136,15 +138,12 @@
 
 int SmallMesh::heartbeat(MeshPlace &Place, const std::string &State,
                          std::uint32_t Slots) {
-  const Json Body = {{"service", Place.Service},
-                     {"address", addressOf(Place.App->port())},
-                     {"zone", "here"},
-                     {"version", Place.Version},
-                     {"capacity_slots", Slots},
-                     {"state", State},
-                     {"cold_remaining_s", 0},
-                     {"sequence", ++Place.Sequence},
-                     {"born", Place.StartedUnixMs}};
+  const Json Body = {
+      {"service", Place.Service},   {"address", addressOf(Place.App->port())},
+      {"zone", Place.DataCentre},   {"version", Place.Version},
+      {"capacity_slots", Slots},    {"state", State},
+      {"cold_remaining_s", 0},      {"sequence", ++Place.Sequence},
+      {"born", Place.StartedUnixMs}};
   Poco::Net::HTTPRequest Request(
       "POST", absl::StrCat("/-/Instances.Heartbeat/", Place.Instance),
       "HTTP/1.1");
--- a/testing/platform/small_mesh.h
+++ b/testing/platform/small_mesh.h
@@ -21,6 +21,7 @@
   std::string Name;
   std::string Service;
   std::string Version = "v1";
+  std::string DataCentre = "here";
   std::string Instance;
   std::uint16_t CallerPort = 0;
   std::uint16_t LinkPort = 0;
@@ -57,7 +58,8 @@
 
   /// Adds a node beside an upstream of `Service`; the upstream answers every
   /// request well. The node is started and the upstream registered.
-  MeshPlace &add(const std::string &Service, const std::string &Version = "v1");
+  MeshPlace &add(const std::string &Service, const std::string &Version = "v1",
+                 const std::string &DataCentre = "here");
 
   /// Starts the place's process anew.
   void startNode(MeshPlace &Place);
