--- a/testing/platform/app_stand_in.cc
+++ b/testing/platform/app_stand_in.cc
@@ -110,6 +110,7 @@
       Behaviour Told;
       {
         const std::lock_guard<std::mutex> Lock(this->Mutex);
+        Request.Arrival = monoNow();
         this->Requests.push_back(Request);
         Told = this->Answers;
       }
--- a/testing/platform/app_stand_in.h
+++ b/testing/platform/app_stand_in.h
@@ -2,6 +2,7 @@
 #ifndef PERSIMMONQUAY_TESTING_PLATFORM_APP_STAND_IN_H
 #define PERSIMMONQUAY_TESTING_PLATFORM_APP_STAND_IN_H
 
+#include "persimmonquay/base/time.h"
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <atomic>
@@ -21,6 +22,7 @@
   std::string Target;
   std::map<std::string, std::string> Headers;
   std::string Body;
+  MonoTime Arrival;
 };
 
 /// Returns a whole answer with the request's id and a proof.
--- a/testing/platform/small_mesh.cc
+++ b/testing/platform/small_mesh.cc
@@ -76,13 +76,15 @@
 
 MeshPlace &SmallMesh::add(const std::string &Service,
                           const std::string &Version,
-                          const std::string &DataCentre) {
+                          const std::string &DataCentre,
+                          const std::string &Address) {
   auto Place = std::make_unique<MeshPlace>();
   Place->Name = absl::StrCat("node-", this->Places.size() + 1);
   Place->Instance = absl::StrCat("i-", this->Places.size() + 1);
   Place->Service = Service;
   Place->Version = Version;
   Place->DataCentre = DataCentre;
+  Place->Address = Address;
   Place->StartedUnixMs = static_cast<std::uint64_t>(unixMillis(wallNow()));
   Place->App = std::make_unique<AppStandIn>(
       [Instance = Place->Instance](const ReceivedRequest &Request) {
@@ -111,7 +113,7 @@
   const Json Values = {
       {"node", Place.Name},
       {"data_centre", Place.DataCentre},
-      {"address", "127.0.0.1"},
+      {"address", Place.Address},
       {"caller_address", addressOf(Place.CallerPort)},
       {"link_address", addressOf(Place.LinkPort)},
       {"readiness_address", addressOf(Place.ReadinessPort)},
@@ -152,15 +154,19 @@
 }
 
 void SmallMesh::publish(std::uint64_t Version, const std::string &Service,
-                        std::uint32_t TimeoutMs) {
+                        std::uint32_t TimeoutMs,
+                        const std::vector<std::string> &Added) {
   Json Services = Json::array();
   for (const char *Name : {"gallery", "orders"})
     Services.push_back({{"name", Name},
                         {"health_check_path", "/health"},
                         {"max_connections", 100}});
   Json Rules = Json::array();
-  for (const auto &[Path, Kind] :
-       {std::pair{"/views/", "safe"}, std::pair{"/orders/", "unsafe"}})
+  std::vector<std::pair<std::string, std::string>> Routes = {
+      {"/views/", "safe"}, {"/orders/", "unsafe"}};
+  for (const std::string &Path : Added)
+    Routes.emplace_back(Path, "safe");
+  for (const auto &[Path, Kind] : Routes)
     Rules.push_back({{"name", absl::StrCat("r", Path)},
                      {"path_prefix", Path},
                      {"kind", Kind},
--- a/testing/platform/small_mesh.h
+++ b/testing/platform/small_mesh.h
@@ -22,6 +22,8 @@
   std::string Service;
   std::string Version = "v1";
   std::string DataCentre = "here";
+  /// IP number by which other nodes reach this one.
+  std::string Address = "127.0.0.1";
   std::string Instance;
   std::uint16_t CallerPort = 0;
   std::uint16_t LinkPort = 0;
@@ -59,7 +61,8 @@
   /// Adds a node beside an upstream of `Service`; the upstream answers every
   /// request well. The node is started and the upstream registered.
   MeshPlace &add(const std::string &Service, const std::string &Version = "v1",
-                 const std::string &DataCentre = "here");
+                 const std::string &DataCentre = "here",
+                 const std::string &Address = "127.0.0.1");
 
   /// Starts the place's process anew.
   void startNode(MeshPlace &Place);
@@ -69,15 +72,19 @@
                 std::uint32_t Slots = 4);
 
   /// Publishes a configuration with the routes "/views/" (safe) and "/orders/"
-  /// (unsafe) of host "boards.example" to `Service`.
+  /// (unsafe) of host "boards.example" to `Service`, and those of `Added`,
+  /// which are safe.
   void publish(std::uint64_t Version, const std::string &Service,
-               std::uint32_t TimeoutMs = 3000);
+               std::uint32_t TimeoutMs = 3000,
+               const std::vector<std::string> &Added = {});
 
   /// Waits until every node is ready and reaches every upstream of a service.
   bool waitUntilReady();
 
   MeshAnswer call(const MeshPlace &Through, const MeshCall &Options = {});
 
+  /// Folder for files of the run.
+  const std::string &directory() const { return this->Directory; }
   StoreStandIn &store() { return this->Store; }
   std::vector<std::unique_ptr<MeshPlace>> &places() { return this->Places; }
 
--- a/testing/stand_ins/link_stand_in.cc
+++ b/testing/stand_ins/link_stand_in.cc
@@ -2,9 +2,10 @@
 // TCP and UDP as the lines of a file say:
 //   LINK tcp|udp LISTEN_ADDRESS TARGET_ADDRESS PORT
 // Faults are switched by
-//   POST /control?link=LINK&cut=0|1&delay_ms=N&silence=1
+//   POST /control?link=LINK&cut=0|1&delay_ms=N&one_way=0|1&silence=1
 // cut: connections are closed and refused, datagrams dropped. silence: the
-// connections open now pass nothing any more, while new ones work.
+// connections open now pass nothing any more, while new ones work. one_way:
+// nothing comes back from the target.
 #include "testing/stand_ins/stand_in_server.h"
 
 #include <Poco/Exception.h>
@@ -32,6 +33,7 @@
 struct Link {
   std::atomic<bool> Cut = false;
   std::atomic<int> DelayMs = 0;
+  std::atomic<bool> OneWay = false;
   /// Connections opened in an earlier generation are silent.
   std::atomic<int> Generation = 0;
 };
@@ -50,14 +52,15 @@
 }
 
 /// Copies one direction until an end closes or the link is cut.
-void copy(StreamSocket From, StreamSocket To, const Link *Through) {
+void copy(StreamSocket From, StreamSocket To, const Link *Through,
+          bool IsBack) {
   const int Generation = Through->Generation;
   std::array<char, 16384> Buffer;
   try {
     while (!Through->Cut) {
       if (!From.poll(Poll, Poco::Net::Socket::SELECT_READ))
         continue;
-      if (Through->Generation != Generation) {
+      if (Through->Generation != Generation || (IsBack && Through->OneWay)) {
         std::this_thread::sleep_for(std::chrono::milliseconds(50));
         continue;
       }
@@ -92,8 +95,8 @@
                   Poco::Timespan(1, 0));
       Near.setNoDelay(true);
       Far.setNoDelay(true);
-      std::thread(copy, Near, Far, Through).detach();
-      std::thread(copy, Far, Near, Through).detach();
+      std::thread(copy, Near, Far, Through, false).detach();
+      std::thread(copy, Far, Near, Through, true).detach();
     } catch (const Poco::Exception &) {
       // The target does not listen; closing tells the caller so.
       Near.close();
@@ -157,6 +160,7 @@
         Named.Cut = numberOr(Query, "cut", Named.Cut) != 0;
         Named.DelayMs =
             static_cast<int>(numberOr(Query, "delay_ms", Named.DelayMs));
+        Named.OneWay = numberOr(Query, "one_way", Named.OneWay) != 0;
         if (numberOr(Query, "silence", 0) != 0)
           ++Named.Generation;
         sendText(Response, 200, "ok");
