Split the call router; read the settings again at SIGHUP

No behaviour changed but one: a node whose every reachable upstream drains is not ready.

SIGHUP was ignored; it reads the settings again now: the log level takes effect, other changes are named and wait for a restart, wrong settings change nothing.

--- a/persimmonquay/base/logging.cc
+++ b/persimmonquay/base/logging.cc
@@ -40,7 +40,7 @@
 };
 
 struct LogContext {
-  LogLevel Lowest = LogLevel::Trace;
+  std::atomic<LogLevel> Lowest = LogLevel::Trace;
   std::string Node;
   std::string DataCentre;
   std::atomic<std::uint64_t> ConfigVersion = 0;
@@ -78,6 +78,8 @@
   logging::core::get()->add_sink(Added);
 }
 
+void setLogLevel(LogLevel Lowest) { internal::logContext().Lowest = Lowest; }
+
 void deferLogWrites() { internal::lineWriter().deferWrites(); }
 
 void flushLogs() { internal::lineWriter().flush(); }
@@ -92,7 +94,7 @@
              std::initializer_list<LogField> Fields) {
   thread_local boost::log::sources::severity_logger<int> Logger;
   const internal::LogContext &Context = internal::logContext();
-  if (Level < Context.Lowest)
+  if (Level < Context.Lowest.load())
     return;
   nlohmann::ordered_json Line;
   Line["unix_ms"] = unixMillis(wallNow());
--- a/persimmonquay/base/logging.h
+++ b/persimmonquay/base/logging.h
@@ -27,6 +27,9 @@
 void initLogging(LogLevel Lowest, const std::string &Node,
                  const std::string &DataCentre);
 
+/// Sets the lowest level that is written. Thread-safe.
+void setLogLevel(LogLevel Lowest);
+
 /// Sets the configuration version that the following lines carry. Thread-safe.
 void setLoggedConfigVersion(std::uint64_t Version);
 
--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -6,14 +6,13 @@
 #include "persimmonquay/daemon/connection_headers.h"
 #include "persimmonquay/daemon/metrics.h"
 #include "persimmonquay/daemon/peer_link.h"
+#include "persimmonquay/daemon/route_target.h"
+#include "persimmonquay/daemon/routed_call.h"
 #include "persimmonquay/daemon/upstream_gate.h"
-#include "persimmonquay/fleet/directory.h"
 #include "persimmonquay/rollout/rollout_book.h"
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_format.h>
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace persimmonquay {
@@ -42,32 +41,10 @@
 /// Work that is assumed of a route that was never measured.
 constexpr Micros AssumedWork{50000};
 
-/// Range of Retry-After around the time at which there will be room, so that
-/// rejected callers don't return together.
-constexpr double RetrySpreadLow = 0.75;
-constexpr double RetrySpreadHigh = 1.75;
-
-/// Retry-After where nothing is known, as when no upstream can be reached: a
-/// few times what nodes need to learn of a new upstream.
-constexpr Millis UnknownRoomPause{250};
-
-/// Longest Retry-After, as part of the time that the caller has left; callers
-/// ignore what is beyond a third.
-constexpr int RetryPartOfPatience = 3;
-
 /// Callers of one route differ in patience; what is below this part of the
 /// longest patience seen is taken for time that has passed already.
 constexpr double LeastPatience = 0.85;
 
-/// Intervals of probes on links without calls, within a data centre and to
-/// others, where bytes are dear and calls are few.
-constexpr Millis NearProbeInterval{2000};
-constexpr Millis FarProbeInterval{8000};
-
-/// Lines a second about requests that went well; those about others are not
-/// limited.
-constexpr double PlainLinesPerSecond = 4;
-
 /// Body from which another data centre is asked whether it would take a call
 /// before the call is sent: several times the question and its answer.
 constexpr std::size_t MinBodyToAsk = 1024;
@@ -85,10 +62,6 @@
 /// Patience that is assumed of a caller that states none.
 constexpr Millis AssumedPatience{1000};
 
-constexpr unsigned StatusBadGateway = 502;
-constexpr unsigned StatusUnavailable = 503;
-constexpr unsigned StatusGatewayTimeout = 504;
-
 bool belongsToConnection(const HttpRequest &Message, std::string_view Name) {
   return isConnectionHeader(Name) ||
          http::token_list(Message[http::field::connection]).exists(Name);
@@ -96,14 +69,6 @@
 
 } // namespace internal
 
-/// One upstream with the node beside it.
-struct CallRouter::Target {
-  proto::NodeEntry Entry;
-  UpstreamView View{true, 1};
-  /// Null for the upstream on this host.
-  std::shared_ptr<PeerLink> Link;
-};
-
 /// What is kept for each service.
 struct CallRouter::ServiceState {
   explicit ServiceState(RepeatLimits Limits) : Budget(Limits) {}
@@ -111,50 +76,15 @@
   RepeatBudget Budget;
   /// When data centres that were full may be asked again.
   std::map<std::string, MonoTime> RemoteBusyUntil;
-  /// Earliest start seen of an upstream of each version.
-  std::map<std::string, std::uint64_t> FirstStart;
-};
-
-/// One request of a caller on its way.
-struct CallRouter::Call {
-  std::shared_ptr<CallerRequest> Request;
-  std::string RequestId;
-  const proto::MeshRoute *Route = nullptr;
-  std::shared_ptr<const RouteTable> Routes;
-  std::string Service;
-  VersionChoice Versions;
-  MonoTime Deadline;
-  MonoTime Objective;
-  Millis Patience{0};
-  Micros Work{0};
-  Micros LikelyWork{0};
-  /// Nodes that rejected the call because of their load, with their wait.
-  std::map<std::string, Micros> Busy;
-  /// Nodes that the call won't be offered to again.
-  std::set<std::string> Excluded;
-  std::size_t LocalOffers = 0;
-  std::size_t RemoteOffers = 0;
-  bool JoinedQueue = false;
-  bool NoneHere = false;
-  /// Upstreams on which the call ran, or may have.
-  std::uint32_t Ran = 0;
-  std::uint32_t Arrived = 0;
-  bool MayHaveRun = false;
-  std::uint64_t Attempt = 0;
-  std::optional<proto::CallReply> Reply;
-  /// An upstream's failure, given to the caller when no repeat does better.
-  std::optional<proto::CallReply> Failure;
-  Millis RetryAfter{0};
-  std::string LastReason;
-  RequestEnd End = RequestEnd::Answered;
 };
 
 CallRouter::CallRouter(EgressParts Given, LinkHandler Handler)
-    : Parts(std::move(Given)), OnConfiguration(std::move(Handler)),
+    : Parts(std::move(Given)),
       Random(hashBytes(this->Parts.OwnNode,
                        static_cast<std::uint64_t>(unixMillis(wallNow())))),
-      PlainLines(internal::PlainLinesPerSecond, internal::PlainLinesPerSecond) {
-}
+      Targets(this->Parts.Context, this->Parts.OwnNode, this->Parts.DataCentre,
+              std::move(Handler)),
+      Answers(this->Parts.Names, this->Random()) {}
 
 CallRouter::~CallRouter() = default;
 
@@ -173,117 +103,22 @@
   this->Routes = std::move(Table);
 }
 
-void CallRouter::stop() {
-  for (auto &[Node, To] : this->Targets)
-    if (To->Link)
-      To->Link->stop();
+void CallRouter::updateNodes(const Directory &Nodes) {
+  this->Targets.update(Nodes);
 }
 
+void CallRouter::stop() { this->Targets.stop(); }
+
 std::shared_ptr<PeerLink> CallRouter::linkTo(const std::string &Node) const {
-  const auto Found = this->Targets.find(Node);
-  return Found == this->Targets.end() ? nullptr : Found->second->Link;
+  return this->Targets.linkTo(Node);
 }
 
 LinkTraffic CallRouter::farTraffic() const {
-  LinkTraffic Sum;
-  for (const auto &[Node, To] : this->Targets)
-    if (To->Link && To->Entry.data_centre() != this->Parts.DataCentre)
-      Sum += To->Link->traffic();
-  return Sum;
+  return this->Targets.farTraffic();
 }
 
 bool CallRouter::canReachUpstreams() const {
-  return std::any_of(this->Targets.begin(), this->Targets.end(),
-                     [](const auto &Item) {
-                       return Item.second->Entry.has_upstream() &&
-                              (!Item.second->Link || Item.second->Link->isUp());
-                     });
-}
-
-void CallRouter::updateNodes(const Directory &Nodes) {
-  for (const proto::NodeEntry *Entry : Nodes.entries()) {
-    const auto Found = this->Targets.find(Entry->node());
-    const bool Own = Entry->node() == this->Parts.OwnNode;
-    if (Entry->leaving() && !Own) {
-      // Calls under way there still get their replies.
-      if (Found != this->Targets.end())
-        Found->second->Entry = *Entry;
-      continue;
-    }
-    const bool SameUpstream =
-        Found != this->Targets.end() &&
-        Found->second->Entry.upstream().instance() ==
-            Entry->upstream().instance() &&
-        Found->second->Entry.upstream().started_unix_ms() ==
-            Entry->upstream().started_unix_ms();
-    const bool SameNode =
-        Found != this->Targets.end() &&
-        Found->second->Entry.address() == Entry->address() &&
-        Found->second->Entry.link_port() == Entry->link_port();
-    auto Next =
-        SameUpstream && SameNode ? Found->second : std::make_shared<Target>();
-    if (!SameUpstream || !SameNode)
-      Next->View = UpstreamView(Entry->data_centre() == this->Parts.DataCentre,
-                                Entry->upstream().slots());
-    if (!Own && SameNode)
-      Next->Link = Found->second->Link;
-    Next->Entry = *Entry;
-    if (!Own && !Next->Link) {
-      if (Found != this->Targets.end() && Found->second->Link)
-        Found->second->Link->stop();
-      ErrorCode Error;
-      const Tcp::endpoint Address(
-          asio::ip::make_address(Entry->address(), Error),
-          static_cast<std::uint16_t>(Entry->link_port()));
-      if (Error) {
-        logLine(LogLevel::Warning, "entry with an unreadable address ignored",
-                {{"member", Entry->node()}, {"address", Entry->address()}});
-        continue;
-      }
-      Next->Link = std::make_shared<PeerLink>(
-          this->Parts.Context, Entry->node(), Address,
-          Entry->data_centre() == this->Parts.DataCentre
-              ? internal::NearProbeInterval
-              : internal::FarProbeInterval,
-          this->OnConfiguration);
-      Next->Link->start();
-    }
-    this->Targets[Entry->node()] = std::move(Next);
-  }
-  this->noteVersions();
-}
-
-void CallRouter::noteVersions() {
-  for (const auto &[Node, To] : this->Targets) {
-    if (!To->Entry.has_upstream() || To->Entry.leaving())
-      continue;
-    const proto::UpstreamEntry &Upstream = To->Entry.upstream();
-    std::uint64_t &First =
-        this->stateOf(Upstream.service())
-            .FirstStart.try_emplace(Upstream.version(), UINT64_MAX)
-            .first->second;
-    First = std::min<std::uint64_t>(First, Upstream.started_unix_ms());
-  }
-}
-
-std::string CallRouter::baseVersion(const Call &Asked) {
-  const std::map<std::string, std::uint64_t> &FirstStart =
-      this->stateOf(Asked.Service).FirstStart;
-  std::string Oldest;
-  std::uint64_t OldestStart = UINT64_MAX;
-  for (const auto &[Node, To] : this->Targets) {
-    const proto::UpstreamEntry &Upstream = To->Entry.upstream();
-    if (!To->Entry.has_upstream() || Upstream.service() != Asked.Service ||
-        Upstream.draining() || To->Entry.leaving() ||
-        !Asked.Versions.allows(Upstream.version()))
-      continue;
-    const auto Start = FirstStart.find(Upstream.version());
-    if (Start != FirstStart.end() && Start->second < OldestStart) {
-      Oldest = Upstream.version();
-      OldestStart = Start->second;
-    }
-  }
-  return Oldest;
+  return this->Targets.canReach("");
 }
 
 bool CallRouter::canPlace(const HttpRequest &Message) const {
@@ -294,16 +129,10 @@
                          std::string_view(Message.target()));
   if (Route == nullptr)
     return true;
-  const auto IsReachable = [this](const proto::TrafficPart &Part) {
-    return std::any_of(
-        this->Targets.begin(), this->Targets.end(), [&Part](const auto &Item) {
-          const Target &To = *Item.second;
-          return To.Entry.upstream().service() == Part.service() &&
-                 !To.Entry.upstream().draining() &&
-                 (!To.Link || To.Link->isUp());
-        });
-  };
-  return std::all_of(Route->parts().begin(), Route->parts().end(), IsReachable);
+  return std::all_of(Route->parts().begin(), Route->parts().end(),
+                     [this](const proto::TrafficPart &Part) {
+                       return this->Targets.canReach(Part.service());
+                     });
 }
 
 asio::awaitable<void>
@@ -327,7 +156,7 @@
 CallRouter::serve(std::shared_ptr<CallerRequest> Request) {
   if (Request->Arrival < this->SettledAt)
     co_await this->awaitStart(Request);
-  auto Asked = std::make_shared<Call>();
+  auto Asked = std::make_shared<RoutedCall>();
   Asked->Request = std::move(Request);
   std::optional<HttpResponse> Answer = this->admit(*Asked);
   if (!Answer)
@@ -340,21 +169,22 @@
   co_return std::move(*Answer);
 }
 
-std::optional<HttpResponse> CallRouter::admit(Call &Asked) {
+std::optional<HttpResponse> CallRouter::admit(RoutedCall &Asked) {
   const HttpRequest &Message = Asked.Request->Message;
   const MonoTime Now = Asked.Request->Arrival;
   Asked.RequestId = std::string(Message[this->Parts.Names.RequestId]);
   Asked.Routes = this->Routes;
   if (!Asked.Routes)
-    return this->refuse(Asked, internal::StatusUnavailable,
-                        "no configuration is known yet",
-                        internal::UnknownRoomPause);
+    return this->Answers.refuse(Asked, StatusUnavailable,
+                                "no configuration is known yet",
+                                UnknownRoomPause);
   Asked.Route = Asked.Routes->find(std::string_view(Message[http::field::host]),
                                    std::string_view(Message.target()));
   if (Asked.Route == nullptr)
-    return this->refuse(Asked, 404, "no route matches host and path", {});
+    return this->Answers.refuse(Asked, 404, "no route matches host and path",
+                                {});
   if (Asked.RequestId.empty())
-    return this->refuse(
+    return this->Answers.refuse(
         Asked, 400,
         absl::StrCat("header \"", this->Parts.Names.RequestId, "\" is missing"),
         {});
@@ -401,48 +231,29 @@
   return std::nullopt;
 }
 
-std::vector<std::shared_ptr<CallRouter::Target>>
-CallRouter::candidates(Call &Asked) {
-  std::vector<std::shared_ptr<Target>> Result;
-  // Without a word about its version an upstream takes calls only if the
-  // others of its service have the same: the order to bring a new version in
-  // may not have arrived yet.
-  const std::string Base = this->baseVersion(Asked);
-  for (const auto &[Node, To] : this->Targets) {
-    const proto::UpstreamEntry &Upstream = To->Entry.upstream();
-    if (!To->Entry.has_upstream() || Upstream.service() != Asked.Service ||
-        Upstream.draining() || To->Entry.leaving() ||
-        Asked.Excluded.contains(Node) ||
-        !Asked.Versions.allows(Upstream.version()) ||
-        (!Asked.Versions.Only && Upstream.version() != Base) ||
-        (To->Link && !To->Link->isUp()))
-      continue;
-    Result.push_back(To);
-  }
-  return Result;
-}
-
-std::shared_ptr<CallRouter::Target> CallRouter::nextTarget(Call &Asked,
-                                                           Micros *MaxWait) {
+std::shared_ptr<RouteTarget> CallRouter::nextTarget(RoutedCall &Asked,
+                                                    Micros *MaxWait) {
   const MonoTime Now = monoNow();
-  std::vector<std::shared_ptr<Target>> All = this->candidates(Asked);
+  std::vector<std::shared_ptr<RouteTarget>> All =
+      this->Targets.candidates(Asked);
   if (All.empty() && Asked.Versions.Only) {
     // A share of a rollout's target that can't be served there goes to the
     // version that takes the rest.
     Asked.Versions = this->Parts.Rollouts.base(Asked.Service);
-    All = this->candidates(Asked);
+    All = this->Targets.candidates(Asked);
   }
   // Where the own data centre has no upstream of the service, the others take
   // its place: there is nothing to be spared by waiting here.
-  Asked.NoneHere = std::none_of(
-      All.begin(), All.end(),
-      [](const std::shared_ptr<Target> &To) { return To->View.isLocal(); });
-  std::erase_if(All, [&Asked](const std::shared_ptr<Target> &To) {
+  Asked.NoneHere = std::none_of(All.begin(), All.end(),
+                                [](const std::shared_ptr<RouteTarget> &To) {
+                                  return To->View.isLocal();
+                                });
+  std::erase_if(All, [&Asked](const std::shared_ptr<RouteTarget> &To) {
     return Asked.Busy.contains(To->Entry.node());
   });
   std::vector<const UpstreamView *> Views;
   std::vector<double> Tiebreak;
-  for (const std::shared_ptr<Target> &To : All) {
+  for (const std::shared_ptr<RouteTarget> &To : All) {
     Views.push_back(&To->View);
     Tiebreak.push_back(this->random());
   }
@@ -452,7 +263,7 @@
       Asked.LikelyWork;
   ServiceState &State = this->stateOf(Asked.Service);
   for (const Candidate &Each : Ranked) {
-    const std::shared_ptr<Target> &To = All[Each.Index];
+    const std::shared_ptr<RouteTarget> &To = All[Each.Index];
     if (Each.Local || Asked.NoneHere) {
       if (Asked.LocalOffers >= internal::MaxLocalOffers)
         continue;
@@ -478,14 +289,15 @@
   return this->bestKnown(Asked, MaxWait);
 }
 
-std::shared_ptr<CallRouter::Target> CallRouter::bestKnown(Call &Asked,
-                                                          Micros *MaxWait) {
+std::shared_ptr<RouteTarget> CallRouter::bestKnown(RoutedCall &Asked,
+                                                   Micros *MaxWait) {
   if (Asked.JoinedQueue)
     return nullptr;
   Asked.JoinedQueue = true;
-  std::shared_ptr<Target> Best;
+  std::shared_ptr<RouteTarget> Best;
   Micros Shortest = Micros::max();
-  for (const std::shared_ptr<Target> &To : this->candidates(Asked)) {
+  for (const std::shared_ptr<RouteTarget> &To :
+       this->Targets.candidates(Asked)) {
     const auto Known = Asked.Busy.find(To->Entry.node());
     if (Known == Asked.Busy.end() || Known->second >= Shortest)
       continue;
@@ -499,7 +311,8 @@
   return Best;
 }
 
-proto::CallRequest CallRouter::question(const Call &Asked, const Target &To,
+proto::CallRequest CallRouter::question(const RoutedCall &Asked,
+                                        const RouteTarget &To,
                                         Micros MaxWait) const {
   const MonoTime Now = monoNow();
   proto::CallRequest Result;
@@ -517,7 +330,8 @@
   return Result;
 }
 
-proto::CallRequest CallRouter::callRequest(const Call &Asked, const Target &To,
+proto::CallRequest CallRouter::callRequest(const RoutedCall &Asked,
+                                           const RouteTarget &To,
                                            Micros MaxWait) const {
   const HttpRequest &Message = Asked.Request->Message;
   proto::CallRequest Result = this->question(Asked, To, MaxWait);
@@ -544,8 +358,9 @@
   return Result;
 }
 
-asio::awaitable<bool> CallRouter::offer(const std::shared_ptr<Call> &Asked,
-                                        Target &To, Micros MaxWait) {
+asio::awaitable<bool>
+CallRouter::offer(const std::shared_ptr<RoutedCall> &Asked, RouteTarget &To,
+                  Micros MaxWait) {
   const bool AskFirst =
       !To.View.isLocal() &&
       Asked->Request->Message.body().size() >= internal::MinBodyToAsk;
@@ -574,10 +389,9 @@
   co_return false;
 }
 
-asio::awaitable<void> CallRouter::exchange(const std::shared_ptr<Call> &Asked,
-                                           Target &To,
-                                           proto::CallRequest Request,
-                                           MonoTime Until) {
+asio::awaitable<void>
+CallRouter::exchange(const std::shared_ptr<RoutedCall> &Asked, RouteTarget &To,
+                     proto::CallRequest Request, MonoTime Until) {
   const std::uint64_t Attempt = ++Asked->Attempt;
   Asked->Reply.reset();
   auto Handler = [Asked, Attempt](proto::CallReply Reply) {
@@ -607,7 +421,7 @@
     this->Parts.OwnGate.cancel(Ticket);
 }
 
-void CallRouter::noteReply(Call &Asked, Target &To,
+void CallRouter::noteReply(RoutedCall &Asked, RouteTarget &To,
                            const proto::CallReply &Reply) {
   const MonoTime Now = monoNow();
   const std::string &Node = To.Entry.node();
@@ -668,7 +482,7 @@
   }
 }
 
-bool CallRouter::mayRepeat(Call &Asked, const proto::CallReply &Reply) {
+bool CallRouter::mayRepeat(RoutedCall &Asked, const proto::CallReply &Reply) {
   if (!Reply.arrived())
     return true;
   const MonoTime Now = monoNow();
@@ -678,7 +492,7 @@
     return false;
   if (Now + Asked.Work / 2 > Asked.Deadline)
     return false;
-  if (this->candidates(Asked).empty())
+  if (this->Targets.candidates(Asked).empty())
     return false;
   const bool Allowed =
       this->stateOf(Asked.Service).Budget.spend(this->Targets.size(), Now);
@@ -696,10 +510,11 @@
   return true;
 }
 
-asio::awaitable<HttpResponse> CallRouter::forward(std::shared_ptr<Call> Asked) {
+asio::awaitable<HttpResponse>
+CallRouter::forward(std::shared_ptr<RoutedCall> Asked) {
   while (true) {
     Micros MaxWait{0};
-    const std::shared_ptr<Target> To = this->nextTarget(*Asked, &MaxWait);
+    const std::shared_ptr<RouteTarget> To = this->nextTarget(*Asked, &MaxWait);
     if (!To || monoNow() >= Asked->Deadline)
       break;
     if (!co_await this->offer(Asked, *To, MaxWait))
@@ -707,105 +522,13 @@
     const proto::CallReply Reply = std::move(*Asked->Reply);
     this->noteReply(*Asked, *To, Reply);
     if (Reply.outcome() == proto::ANSWERED && Reply.status() < 500) {
-      this->logAnswered(*Asked, Reply, *To);
-      co_return this->answer(Reply);
+      this->Answers.logAnswered(*Asked, Reply, *To);
+      co_return this->Answers.upstreamAnswer(Reply);
     }
     if (!this->mayRepeat(*Asked, Reply))
       break;
   }
-  co_return this->finalFailure(*Asked);
-}
-
-HttpResponse CallRouter::answer(const proto::CallReply &Reply) const {
-  HttpResponse Result;
-  Result.result(Reply.status());
-  for (const proto::HeaderField &Field : Reply.headers())
-    Result.insert(Field.name(), Field.value());
-  Result.body() = Reply.body();
-  return Result;
-}
-
-void CallRouter::logAnswered(const Call &Asked, const proto::CallReply &Reply,
-                             const Target &From) {
-  const MonoTime Now = monoNow();
-  if (Asked.Arrived < 2 && Now < Asked.Objective &&
-      !this->PlainLines.allow(Now))
-    return;
-  logLine(LogLevel::Info, "call answered",
-          {{"request", Asked.RequestId},
-           {"route", Asked.Route->name()},
-           {"service", Asked.Service},
-           {"member", From.Entry.node()},
-           {"instance", From.Entry.upstream().instance()},
-           {"status", std::to_string(Reply.status())},
-           {"arrivals", std::to_string(Asked.Arrived)},
-           {"busy_nodes", std::to_string(Asked.Busy.size())},
-           {"late", Now < Asked.Objective ? "no" : "yes"},
-           {"taken_ms", std::to_string(std::chrono::duration_cast<Millis>(
-                                           Now - Asked.Request->Arrival)
-                                           .count())}});
-}
-
-HttpResponse CallRouter::finalFailure(Call &Asked) {
-  if (Asked.Failure) {
-    Asked.End = RequestEnd::UpstreamFailed;
-    logLine(LogLevel::Info, "upstream's failure passed on",
-            {{"request", Asked.RequestId},
-             {"route", Asked.Route->name()},
-             {"service", Asked.Service},
-             {"status", std::to_string(Asked.Failure->status())},
-             {"arrivals", std::to_string(Asked.Arrived)}});
-    return this->answer(*Asked.Failure);
-  }
-  if (!Asked.MayHaveRun) {
-    const Millis After = Asked.RetryAfter > Millis{0}
-                             ? Asked.RetryAfter
-                             : internal::UnknownRoomPause;
-    return this->refuse(Asked, internal::StatusUnavailable,
-                        Asked.LastReason.empty() ? "no upstream can be reached"
-                                                 : Asked.LastReason,
-                        After);
-  }
-  if (monoNow() >= Asked.Deadline)
-    return this->refuse(Asked, internal::StatusGatewayTimeout,
-                        "no answer within the deadline", {});
-  return this->refuse(Asked, internal::StatusBadGateway, Asked.LastReason, {});
-}
-
-HttpResponse CallRouter::refuse(Call &Asked, unsigned Status,
-                                const std::string &Reason, Millis RetryAfter) {
-  Asked.End = Status == internal::StatusUnavailable      ? RequestEnd::Rejected
-              : Status == internal::StatusBadGateway     ? RequestEnd::Unknown
-              : Status == internal::StatusGatewayTimeout ? RequestEnd::TimedOut
-              : Status == 404                            ? RequestEnd::NoRoute
-                              : RequestEnd::Malformed;
-  HttpResponse Result;
-  Result.result(Status);
-  Result.set(http::field::content_type, "text/plain");
-  if (!Asked.RequestId.empty())
-    Result.set(this->Parts.Names.RequestId, Asked.RequestId);
-  if (Status == internal::StatusUnavailable) {
-    const double Spread =
-        internal::RetrySpreadLow +
-        (internal::RetrySpreadHigh - internal::RetrySpreadLow) * this->random();
-    double Seconds = std::chrono::duration<double>(RetryAfter).count() * Spread;
-    if (Asked.Patience > Millis{0})
-      Seconds = std::min(Seconds,
-                         std::chrono::duration<double>(Asked.Patience).count() /
-                             internal::RetryPartOfPatience);
-    Result.set(http::field::retry_after, absl::StrFormat("%.3f", Seconds));
-  }
-  Result.body() = Reason;
-  if (!Asked.Request->CallerLeft)
-    logLine(LogLevel::Info, "call not answered by an upstream",
-            {{"request", Asked.RequestId},
-             {"route", Asked.Route == nullptr ? "" : Asked.Route->name()},
-             {"service", Asked.Service},
-             {"status", std::to_string(Status)},
-             {"reason", Reason},
-             {"arrivals", std::to_string(Asked.Arrived)},
-             {"retry_after", std::string(Result[http::field::retry_after])}});
-  return Result;
+  co_return this->Answers.finalFailure(*Asked);
 }
 
 } // namespace persimmonquay
--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -2,14 +2,15 @@
 #ifndef PERSIMMONQUAY_DAEMON_CALL_ROUTER_H
 #define PERSIMMONQUAY_DAEMON_CALL_ROUTER_H
 
-#include "persimmonquay/base/line_writer.h"
 #include "persimmonquay/base/time.h"
 #include "persimmonquay/daemon/asio.h"
+#include "persimmonquay/daemon/caller_answers.h"
 #include "persimmonquay/daemon/header_names.h"
+#include "persimmonquay/daemon/target_table.h"
 #include "persimmonquay/mesh/route_table.h"
 #include "persimmonquay/mesh/traffic_split.h"
-#include "persimmonquay/traffic/placement.h"
 #include "persimmonquay/traffic/repeat_budget.h"
+#include "persimmonquay/traffic/work_estimate.h"
 #include "proto/link.pb.h"
 #include <functional>
 #include <map>
@@ -21,6 +22,8 @@
 namespace persimmonquay {
 
 struct CallerRequest;
+struct RoutedCall;
+struct RouteTarget;
 class Directory;
 class Metrics;
 enum class RequestEnd;
@@ -86,53 +89,42 @@
   bool canReachUpstreams() const;
 
 private:
-  struct Target;
-  struct Call;
   struct ServiceState;
 
   asio::awaitable<void> awaitStart(std::shared_ptr<CallerRequest> Request);
   bool canPlace(const HttpRequest &Message) const;
-  std::optional<HttpResponse> admit(Call &Asked);
-  asio::awaitable<HttpResponse> forward(std::shared_ptr<Call> Asked);
-  asio::awaitable<bool> offer(const std::shared_ptr<Call> &Asked, Target &To,
+  std::optional<HttpResponse> admit(RoutedCall &Asked);
+  asio::awaitable<HttpResponse> forward(std::shared_ptr<RoutedCall> Asked);
+  asio::awaitable<bool> offer(const std::shared_ptr<RoutedCall> &Asked,
+                              RouteTarget &To,
                               std::chrono::microseconds MaxWait);
-  asio::awaitable<void> exchange(const std::shared_ptr<Call> &Asked, Target &To,
-                                 proto::CallRequest Request, MonoTime Until);
-  std::vector<std::shared_ptr<Target>> candidates(Call &Asked);
-  std::shared_ptr<Target> nextTarget(Call &Asked, Micros *MaxWait);
-  std::shared_ptr<Target> bestKnown(Call &Asked, Micros *MaxWait);
+  asio::awaitable<void> exchange(const std::shared_ptr<RoutedCall> &Asked,
+                                 RouteTarget &To, proto::CallRequest Request,
+                                 MonoTime Until);
+  std::shared_ptr<RouteTarget> nextTarget(RoutedCall &Asked, Micros *MaxWait);
+  std::shared_ptr<RouteTarget> bestKnown(RoutedCall &Asked, Micros *MaxWait);
   /// Asks whether the call would be taken, without its content.
-  proto::CallRequest question(const Call &Asked, const Target &To,
+  proto::CallRequest question(const RoutedCall &Asked, const RouteTarget &To,
                               Micros MaxWait) const;
-  proto::CallRequest callRequest(const Call &Asked, const Target &To,
+  proto::CallRequest callRequest(const RoutedCall &Asked, const RouteTarget &To,
                                  Micros MaxWait) const;
-  bool mayRepeat(Call &Asked, const proto::CallReply &Reply);
-  void noteReply(Call &Asked, Target &To, const proto::CallReply &Reply);
-  HttpResponse answer(const proto::CallReply &Reply) const;
-  HttpResponse refuse(Call &Asked, unsigned Status, const std::string &Reason,
-                      Millis RetryAfter);
-  HttpResponse finalFailure(Call &Asked);
-  void logAnswered(const Call &Asked, const proto::CallReply &Reply,
-                   const Target &From);
+  bool mayRepeat(RoutedCall &Asked, const proto::CallReply &Reply);
+  void noteReply(RoutedCall &Asked, RouteTarget &To,
+                 const proto::CallReply &Reply);
   ServiceState &stateOf(const std::string &Service);
-  void noteVersions();
-  /// Returns the version that takes calls while no rollout says otherwise: of
-  /// those that may be called the one that has been there longest.
-  std::string baseVersion(const Call &Asked);
   double random();
 
   EgressParts Parts;
-  LinkHandler OnConfiguration;
+  std::mt19937_64 Random;
+  TargetTable Targets;
+  CallerAnswers Answers;
   std::shared_ptr<const RouteTable> Routes;
-  std::map<std::string, std::shared_ptr<Target>> Targets;
   MonoTime SettledAt;
   std::map<std::string, TrafficSplit> Splits;
   std::map<std::string, std::unique_ptr<ServiceState>> Services;
   std::map<std::string, WorkEstimate> RouteWork;
   /// Longest time that callers of a route have been seen to wait.
   std::map<std::string, Millis> FullPatience;
-  std::mt19937_64 Random;
-  RateLimit PlainLines;
 };
 
 } // namespace persimmonquay
--- a/persimmonquay/daemon/daemon_test.cc
+++ b/persimmonquay/daemon/daemon_test.cc
@@ -13,10 +13,12 @@
 /// A server that answers every request with 200, and one caller of it.
 class ServerFixture {
 public:
-  explicit ServerFixture(HttpLimits Bounds = {})
+  explicit ServerFixture(const HttpLimits &Bounds = {})
       : Server(std::make_shared<CallerServer>(
             this->Context, [Bounds] { return Bounds; },
-            [this](std::shared_ptr<CallerRequest>) { return this->answer(); })),
+            [this](const std::shared_ptr<CallerRequest> &) {
+              return this->answer();
+            })),
         Caller(this->Context) {
     absl::StatusOr<Tcp::acceptor> Listener =
         listenOn(this->Context, Tcp::endpoint(asio::ip::address_v4::loopback(),
--- /dev/null
+++ b/persimmonquay/daemon/route_target.h
@@ -0,0 +1,23 @@
+// An upstream as a place to which calls can be offered.
+#ifndef PERSIMMONQUAY_DAEMON_ROUTE_TARGET_H
+#define PERSIMMONQUAY_DAEMON_ROUTE_TARGET_H
+
+#include "persimmonquay/traffic/placement.h"
+#include "proto/link.pb.h"
+#include <memory>
+
+namespace persimmonquay {
+
+class PeerLink;
+
+/// One upstream with the node beside it.
+struct RouteTarget {
+  proto::NodeEntry Entry;
+  UpstreamView View{true, 1};
+  /// Null for the upstream on this host.
+  std::shared_ptr<PeerLink> Link;
+};
+
+} // namespace persimmonquay
+
+#endif // PERSIMMONQUAY_DAEMON_ROUTE_TARGET_H
--- a/testing/platform/platform_test.cc
+++ b/testing/platform/platform_test.cc
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <csignal>
 #include <doctest/doctest.h>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -353,6 +354,29 @@
   CHECK(Lost == 0);
 }
 
+TEST_CASE("SIGHUP reads the settings again, and wrong ones change nothing") {
+  TwoNodes Two;
+  const std::string Path =
+      absl::StrCat(Two.Mesh.directory(), "/", Two.Caller.Name, ".json");
+  const auto Says = [&](const std::string &Text) {
+    return eventually(Patience, [&] {
+      return Two.Caller.Node->output().find(Text) != std::string::npos;
+    });
+  };
+  std::ifstream File(Path);
+  nlohmann::json Settings = nlohmann::json::parse(File);
+  Settings["log_level"] = "debug";
+  Settings["memory_mb"] = 300;
+  std::ofstream(Path) << Settings.dump();
+  Two.Caller.Node->signal(SIGHUP);
+  CHECK(Says("settings read again"));
+  CHECK(Says("memory_mb"));
+  std::ofstream(Path) << R"({"memory_mb": "much"})";
+  Two.Caller.Node->signal(SIGHUP);
+  CHECK(Says("settings can't be read again; the last ones stay"));
+  CHECK(Two.Mesh.call(Two.Caller, {.Id = "after"}).Status == 200);
+}
+
 TEST_CASE("calls go on while the store is out, and a restart finds all again") {
   TwoNodes Two;
   Two.Mesh.store().setOutage(true);
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -28,6 +28,7 @@
   SoakWorld World(Seed, Ledger);
   std::atomic<bool> Stop = false;
   std::vector<std::thread> Threads;
+  Threads.reserve(Callers);
   for (int I = 0; I < Callers; ++I)
     Threads.emplace_back([&, I] {
       runSoakCaller(World.callerPorts(), Seed * Callers + I,
--- a/testing/soak/soak_world.cc
+++ b/testing/soak/soak_world.cc
@@ -251,7 +251,7 @@
   const AppStandIn::Behaviour Well =
       wellBehaved(Node.Place->Instance, Node.Leaves);
   Node.Place->App->behave([Well, Choice](const ReceivedRequest &Request) {
-    const std::string Good = Well(Request);
+    std::string Good = Well(Request);
     if (Request.Target == "/health")
       return Good;
     switch (Choice) {
