--- a/persimmonquay/rollout/rollout_test.cc
+++ b/persimmonquay/rollout/rollout_test.cc
@@ -231,6 +231,32 @@
       165, 0.02);
 }
 
+// Found by an incident: two failures of three calls on a rare route lowered the
+// share of a good version, which then could not be completed.
+TEST_CASE("a few failures on a rare route hold the share and don't lower it") {
+  const auto SpanOf = [](double OldCalls, double NewCalls, double NewErrors) {
+    SpanCounts Result;
+    Result.Old.Calls = OldCalls;
+    Result.Old.Errors = 1;
+    Result.Old.Latency[5] = OldCalls - 1;
+    Result.New.Calls = NewCalls;
+    Result.New.Errors = NewErrors;
+    Result.New.Latency[5] = NewCalls - NewErrors;
+    return std::vector<SpanCounts>{Result};
+  };
+  RolloutSituation Situation;
+  Situation.Elapsed = Millis(6500);
+  Situation.Duration = Millis(15000);
+  Situation.SharePermille = 200;
+  Situation.AtShare = Millis(1000);
+  Situation.TargetSlots = 27;
+  Situation.OtherSlots = 27;
+  const RolloutDecision Next = decideRollout(
+      ExposureLimits{}, Situation,
+      {{"often", SpanOf(400, 36, 0)}, {"rare", SpanOf(40, 3, 2)}});
+  CHECK(Next.Action == RolloutDecision::Kind::Hold);
+}
+
 TEST_CASE("tallies that arrive twice, late or not at all add up once") {
   RolloutEvidence Evidence("v2");
   proto::RolloutTally Tally;
