Don't let a time limit that is due end the next call on a connection

The upstream's node closed the connection 2 ms after handing the call over ("Bad file descriptor"): the limit of the call before it was due in the same turn of the loop in which its late answer (504) was read. The connection went back to the pool, the next call took it, and the handler of the timer, which can't be cancelled any more then, closed it. Ruled out: cancelled calls (no line of one), the end of either process, the links between the nodes, which stayed open. Change: a limit is disarmed when its exchange ends; the same for the callers' connections, where a due handler could cancel the next read or write. Test: daemon_test lets the loop stand still until answer and limit are due together; without the change the next call ends as UNKNOWN.

--- a/persimmonquay/daemon/caller_server.cc
+++ b/persimmonquay/daemon/caller_server.cc
@@ -96,7 +96,7 @@
                             : Idle - Waited);
       const auto [Error] =
           co_await this->Socket.async_wait(Tcp::socket::wait_read, NoThrow);
-      this->Timer.cancel();
+      this->stopTimer();
       if (!Error)
         co_return peekConnection(this->Socket) == PeerState::HasData;
       if (Error != asio::error::operation_aborted || !this->Socket.is_open())
@@ -121,7 +121,7 @@
           this->Socket, this->Buffer, Parser, NoThrow);
       Error = BodyError;
     }
-    this->Timer.cancel();
+    this->stopTimer();
     if (Error) {
       co_await this->refuse(Error);
       co_return false;
@@ -184,13 +184,20 @@
   void cancelAfter(Millis Time) {
     this->Timer.expires_after(Time);
     this->Timer.async_wait(
-        [Self = this->shared_from_this()](const ErrorCode &Error) {
+        [Self = this->shared_from_this(),
+         Round = ++this->TimerRound](const ErrorCode &Error) {
           ErrorCode Ignored;
-          if (!Error)
+          if (!Error && Round == Self->TimerRound)
             Self->Socket.cancel(Ignored);
         });
   }
 
+  /// A handler that is due already must not cancel what comes next.
+  void stopTimer() {
+    ++this->TimerRound;
+    this->Timer.cancel();
+  }
+
   void close() {
     ErrorCode Ignored;
     this->Timer.cancel();
@@ -203,6 +210,7 @@
   asio::steady_timer Timer;
   boost::beast::flat_buffer Buffer;
   bool Handling = false;
+  std::uint64_t TimerRound = 0;
 };
 
 CallerServer::CallerServer(asio::io_context &Loop, LimitsSource Bounds,
--- a/persimmonquay/daemon/daemon_test.cc
+++ b/persimmonquay/daemon/daemon_test.cc
@@ -2,10 +2,12 @@
 #include "persimmonquay/daemon/metrics.h"
 #include "persimmonquay/daemon/sockets.h"
 #include "persimmonquay/daemon/upstream_gate.h"
-#include <boost/asio/connect.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 #include <string>
+#include <thread>
+#include <vector>
 
 namespace persimmonquay {
 namespace {
@@ -139,5 +141,65 @@
   CHECK(Gate.wouldTake(Question).outcome() == proto::NOT_RUN);
 }
 
+/// Plays the upstream's side of one exchange on a blocking socket.
+void answerOne(Tcp::socket &Peer) {
+  std::string Request;
+  asio::read_until(Peer, asio::dynamic_buffer(Request), "\r\n\r\n");
+  asio::write(Peer, asio::buffer(std::string("HTTP/1.1 200 OK\r\nx-pq-proof: p"
+                                             "\r\nContent-Length: 2\r\n\r\n"
+                                             "ok")));
+}
+
+// Found by playing days: a call was cut two milliseconds after its start. The
+// time limit of the call before it on the same connection was due when that
+// call's answer was read, on a host that was late.
+TEST_CASE("a time limit that is due already does not end the next call") {
+  asio::io_context Context;
+  Tcp::acceptor Listener(Context,
+                         Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  Metrics Counts;
+  UpstreamGate Gate(Context, HeaderNames{}, Listener.local_endpoint(), Counts);
+  proto::UpstreamEntry Upstream;
+  Upstream.set_service("gallery");
+  Upstream.set_instance("i-1");
+  Upstream.set_slots(1);
+  Gate.setUpstream(Upstream);
+  proto::CallRequest Request;
+  Request.set_service("gallery");
+  Request.set_instance("i-1");
+  Request.set_method("GET");
+  Request.set_target("/");
+  Request.set_idempotent(true);
+  Request.set_objective_ms(400);
+  const auto RunUntil = [&Context](const auto &Holds) {
+    const MonoTime GiveUp = monoNow() + std::chrono::seconds(10);
+    while (!Holds() && monoNow() < GiveUp)
+      Context.run_one_for(Millis(50));
+    REQUIRE(Holds());
+  };
+
+  std::vector<proto::CallReply> Replies;
+  Request.set_remaining_ms(20);
+  Gate.submit(Request, [&](proto::CallReply First) {
+    Replies.push_back(std::move(First));
+    Request.set_remaining_ms(5000);
+    Gate.submit(Request, [&](proto::CallReply Second) {
+      Replies.push_back(std::move(Second));
+    });
+  });
+  Context.poll();
+  Tcp::socket Peer = Listener.accept();
+  Context.run_for(Millis(5));
+  answerOne(Peer);
+  // The loop stands still until the first call's limit has passed as well.
+  std::this_thread::sleep_for(Millis(400));
+  RunUntil([&] { return Replies.size() == 1; });
+  CHECK(Replies[0].outcome() == proto::ANSWERED);
+  Context.run_for(Millis(20));
+  answerOne(Peer);
+  RunUntil([&] { return Replies.size() == 2; });
+  CHECK(Replies[1].outcome() == proto::ANSWERED);
+}
+
 } // namespace
 } // namespace persimmonquay
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -63,6 +63,35 @@
 /// Weight of one result in the failure rate that is reported to other nodes.
 constexpr double FailureWeight = 0.05;
 
+/// Closes a connection at a time unless it is disarmed before. Cancelling a
+/// timer alone doesn't do: its handler may be due already, and would close the
+/// connection under the next call.
+class ConnectionTimer {
+public:
+  ConnectionTimer(asio::steady_timer &Clock, MonoTime At,
+                  std::shared_ptr<UpstreamConnection> Connection)
+      : Timer(Clock), Armed(std::make_shared<bool>(true)) {
+    this->Timer.expires_at(At);
+    this->Timer.async_wait(
+        [Armed = this->Armed,
+         Closing = std::move(Connection)](const ErrorCode &Error) {
+          ErrorCode Ignored;
+          if (!Error && *Armed)
+            Closing->Socket.close(Ignored);
+        });
+  }
+  ConnectionTimer(const ConnectionTimer &) = delete;
+  ConnectionTimer &operator=(const ConnectionTimer &) = delete;
+  ~ConnectionTimer() {
+    *this->Armed = false;
+    this->Timer.cancel();
+  }
+
+private:
+  asio::steady_timer &Timer;
+  std::shared_ptr<bool> Armed;
+};
+
 std::optional<Millis> statedIdleTime(const HttpResponse &Answer) {
   const std::string_view Text = Answer[http::field::keep_alive];
   constexpr std::string_view Key = "timeout=";
@@ -353,15 +382,10 @@
   Running.Connection =
       std::make_shared<UpstreamConnection>(Tcp::socket(this->Context));
   const std::shared_ptr<UpstreamConnection> Opening = Running.Connection;
-  Running.Timer.expires_after(internal::ConnectTimeout);
-  Running.Timer.async_wait([Opening](const ErrorCode &Error) {
-    ErrorCode Ignored;
-    if (!Error)
-      Opening->Socket.close(Ignored);
-  });
+  const internal::ConnectionTimer Limit(
+      Running.Timer, monoNow() + internal::ConnectTimeout, Opening);
   const auto [Error] =
       co_await Opening->Socket.async_connect(this->Address, NoThrow);
-  Running.Timer.cancel();
   if (Error || !Opening->Socket.is_open())
     co_return false;
   configureConnection(Opening->Socket, internal::UpstreamSilenceLimit);
@@ -392,12 +416,8 @@
 asio::awaitable<UpstreamGate::Exchange> UpstreamGate::exchange(Call &Running) {
   Exchange Result;
   const std::shared_ptr<UpstreamConnection> Connection = Running.Connection;
-  Running.Timer.expires_at(Running.Deadline + internal::AnswerGrace);
-  Running.Timer.async_wait([Connection](const ErrorCode &Error) {
-    ErrorCode Ignored;
-    if (!Error)
-      Connection->Socket.close(Ignored);
-  });
+  const internal::ConnectionTimer Limit(
+      Running.Timer, Running.Deadline + internal::AnswerGrace, Connection);
   HttpRequest Request = this->upstreamRequest(Running);
   const auto [WriteError, Written] =
       co_await http::async_write(Connection->Socket, Request, NoThrow);
@@ -453,7 +473,6 @@
     if (Running->Cancelled)
       break;
     Exchange Done = co_await this->exchange(*Running);
-    Running->Timer.cancel();
     const bool Broken =
         Done.Ending == Exchange::End::Broken && !Done.AnswerBegun;
     Again = Broken && Resent == 0 && this->mayResend(*Running);
