Don't prefer an upstream that fails many calls for being near

Ruled out: late knowledge (each reply carries the rate). Change: from a failure rate of a quarter on an upstream is compared by expected cost with those of other data centres, which must save 0.15 s; rates that other nodes reported fade as the own view does. Tests: traffic_test, two cases; where all fail alike calls stay near.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -429,7 +429,7 @@
     To.View.noteLoad(Reply.load().running(), Reply.load().waiting(),
                      Reply.load().slots(),
                      std::chrono::microseconds(Reply.load().wait_us()), Now);
-    To.View.noteSharedFailures(Reply.load().failed_permille() / 1000.0);
+    To.View.noteSharedFailures(Reply.load().failed_permille() / 1000.0, Now);
   }
   Asked.LastReason = Reply.reason();
   this->Parts.Counts.noteOffer(
--- a/persimmonquay/traffic/placement.cc
+++ b/persimmonquay/traffic/placement.cc
@@ -17,6 +17,15 @@
 /// has recovered: the failure rate that is remembered halves.
 constexpr std::chrono::duration<double> FailureHalfLife{2.0};
 
+/// Failure rate from which an upstream is not preferred for being near: then
+/// most callers would need a second try, which the budget for repeats does not
+/// cover.
+constexpr double OutlierRate = 0.25;
+
+/// Time that a call to another data centre must save: a transfer is dear, and
+/// where all fail alike it saves nothing.
+constexpr std::chrono::microseconds CrossingCost{150000};
+
 /// Age at which a load report says nothing any more.
 constexpr Millis MaxReportAge{1000};
 
@@ -53,9 +62,11 @@
 
 double UpstreamView::failureRate(MonoTime Now) const {
   const std::chrono::duration<double> Age = Now - this->FailedAt;
-  const double Own =
-      this->FailureRate * std::exp2(-Age / internal::FailureHalfLife);
-  return std::max(Own, this->SharedFailureRate);
+  const std::chrono::duration<double> SharedAge = Now - this->SharedAt;
+  return std::max(this->FailureRate *
+                      std::exp2(-Age / internal::FailureHalfLife),
+                  this->SharedFailureRate *
+                      std::exp2(-SharedAge / internal::FailureHalfLife));
 }
 
 std::chrono::microseconds UpstreamView::expectedWait(MonoTime Now) const {
@@ -113,13 +124,18 @@
         Views[I]->expectedCost(Now, Fastest.value_or(internal::AssumedWork));
     const auto Shuffle = std::chrono::duration_cast<std::chrono::microseconds>(
         Cost * (internal::TiebreakPart * Tiebreak[I]));
-    Result.push_back(
-        {I, Views[I]->isLocal(), Views[I]->expectedWait(Now), Cost + Shuffle});
+    const bool Local = Views[I]->isLocal();
+    const bool Preferred =
+        Local && Views[I]->failureRate(Now) < internal::OutlierRate;
+    const std::chrono::microseconds Crossing =
+        Local ? std::chrono::microseconds{0} : internal::CrossingCost;
+    Result.push_back({I, Local, Preferred, Views[I]->expectedWait(Now),
+                      Cost + Shuffle + Crossing});
   }
   std::sort(Result.begin(), Result.end(),
             [](const Candidate &Left, const Candidate &Right) {
-              if (Left.Local != Right.Local)
-                return Left.Local;
+              if (Left.Preferred != Right.Preferred)
+                return Left.Preferred;
               return Left.Cost < Right.Cost;
             });
   return Result;
--- a/persimmonquay/traffic/placement.h
+++ b/persimmonquay/traffic/placement.h
@@ -2,7 +2,8 @@
 //
 // Load patterns answered: upstreams of unequal speed and load (shortest
 // expected time, not round robin), upstreams that fail part of their calls
-// while they look healthy (failures count as time), a data centre whose own
+// while they look healthy (failures count as time, and an upstream that fails
+// many is not preferred for being near), a data centre whose own
 // upstreams are full (calls cross only when they would otherwise miss their
 // latency objective, and not to data centres that have just said they are full
 // too), and upstreams that were just added or can't be reached.
@@ -38,7 +39,10 @@
   /// Records an answer's result; `Work` is the time at the upstream.
   void noteResult(bool Failed, std::chrono::microseconds Work, MonoTime Now);
   /// Records the part of all nodes' calls that failed there.
-  void noteSharedFailures(double Rate) { this->SharedFailureRate = Rate; }
+  void noteSharedFailures(double Rate, MonoTime Now) {
+    this->SharedFailureRate = Rate;
+    this->SharedAt = Now;
+  }
 
   // Queries.
 
@@ -71,21 +75,24 @@
   double FailureRate = 0;
   double SharedFailureRate = 0;
   MonoTime FailedAt;
+  MonoTime SharedAt;
 };
 
 /// An upstream as a candidate for one call.
 struct Candidate {
   std::size_t Index = 0;
   bool Local = true;
+  /// Local, and does not fail many calls.
+  bool Preferred = true;
   std::chrono::microseconds Wait{0};
   std::chrono::microseconds Cost{0};
 };
 
 /// Returns the views' indices as candidates, best first: those of the own data
-/// centre, then the others. An upstream that has served no call yet is taken to
-/// be as fast as the fastest, so that a new one gets work at once. `Tiebreak`
-/// (0 to 1 for each view) orders equals differently on every call, so that
-/// nodes don't choose alike.
+/// centre that don't fail many calls, then the others. An upstream that has
+/// served no call yet is taken to be as fast as the fastest, so that a new one
+/// gets work at once. `Tiebreak` (0 to 1 for each view) orders equals
+/// differently on every call, so that nodes don't choose alike.
 std::vector<Candidate> rankUpstreams(const std::vector<const UpstreamView *> &,
                                      const std::vector<double> &Tiebreak,
                                      MonoTime Now);
--- a/persimmonquay/traffic/traffic_test.cc
+++ b/persimmonquay/traffic/traffic_test.cc
@@ -323,6 +323,38 @@
   CHECK(Failing.failureRate(Now + std::chrono::seconds(10)) < 0.05);
 }
 
+// Found by an incident: the only upstream of its data centre failed half of its
+// calls and got a fifth of the service's calls for ten seconds.
+TEST_CASE("an upstream that fails many calls is not preferred for being near") {
+  const MonoTime Now = monoNow();
+  UpstreamView Here(true, 9);
+  UpstreamView There(false, 9);
+  for (int Call = 0; Call < 40; ++Call) {
+    Here.noteResult(Call % 2 == 0, Millis(100), Now);
+    There.noteResult(false, Millis(100), Now);
+  }
+  CHECK(rankUpstreams({&Here, &There}, {0, 0}, Now)[0].Index == 1);
+  // After a while it is tried again.
+  const MonoTime Later = Now + Millis(4000);
+  CHECK(rankUpstreams({&Here, &There}, {0, 0}, Later)[0].Index == 0);
+  // What the node beside it has reported fades as well.
+  Here.noteSharedFailures(0.5, Later);
+  CHECK(rankUpstreams({&Here, &There}, {0, 0}, Later)[0].Index == 1);
+  CHECK(rankUpstreams({&Here, &There}, {0, 0}, Later + Millis(4000))[0].Index ==
+        0);
+}
+
+TEST_CASE("where upstreams fail alike, calls stay in the own data centre") {
+  const MonoTime Now = monoNow();
+  UpstreamView Here(true, 9);
+  UpstreamView There(false, 9);
+  for (int Call = 0; Call < 40; ++Call) {
+    Here.noteResult(Call % 2 == 0, Millis(100), Now);
+    There.noteResult(Call % 2 == 0, Millis(100), Now);
+  }
+  CHECK(rankUpstreams({&There, &Here}, {0, 0}, Now)[0].Index == 1);
+}
+
 TEST_CASE("the own data centre goes first, however fast the others are") {
   const MonoTime Now = monoNow();
   UpstreamView Here(true, 9);
