Give the connection's time limit a header of its own; wait on conditions in its test

Cause: reading the change as a newcomer. ConnectionTimer stood in upstream_gate.cc beside the gate. Its test ran the loop for 5 and 20 ms before it read the request from a blocking socket: on a busy machine it could have waited for ever, or the limit of 170 ms could have passed before the answer. Change: the class moved as it was; the test waits until the request has arrived, and the limit is 1.15 s, passed by standing still for 1.5 s. No bound of the program changed.

--- a/persimmonquay/daemon/daemon_test.cc
+++ b/persimmonquay/daemon/daemon_test.cc
@@ -179,7 +179,7 @@
   };
 
   std::vector<proto::CallReply> Replies;
-  Request.set_remaining_ms(20);
+  Request.set_remaining_ms(1000);
   Gate.submit(Request, [&](proto::CallReply First) {
     Replies.push_back(std::move(First));
     Request.set_remaining_ms(5000);
@@ -189,13 +189,13 @@
   });
   Context.poll();
   Tcp::socket Peer = Listener.accept();
-  Context.run_for(Millis(5));
+  RunUntil([&] { return Peer.available() > 0; });
   answerOne(Peer);
   // The loop stands still until the first call's limit has passed as well.
-  std::this_thread::sleep_for(Millis(400));
+  std::this_thread::sleep_for(Millis(1500));
   RunUntil([&] { return Replies.size() == 1; });
   CHECK(Replies[0].outcome() == proto::ANSWERED);
-  Context.run_for(Millis(20));
+  RunUntil([&] { return Peer.available() > 0; });
   answerOne(Peer);
   RunUntil([&] { return Replies.size() == 2; });
   CHECK(Replies[1].outcome() == proto::ANSWERED);
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -2,6 +2,7 @@
 
 #include "persimmonquay/base/logging.h"
 #include "persimmonquay/daemon/connection_headers.h"
+#include "persimmonquay/daemon/connection_timer.h"
 #include "persimmonquay/daemon/metrics.h"
 #include "persimmonquay/daemon/sockets.h"
 #include <absl/strings/numbers.h>
@@ -63,35 +64,6 @@
 /// Weight of one result in the failure rate that is reported to other nodes.
 constexpr double FailureWeight = 0.05;
 
-/// Closes a connection at a time unless it is disarmed before. Cancelling a
-/// timer alone doesn't do: its handler may be due already, and would close the
-/// connection under the next call.
-class ConnectionTimer {
-public:
-  ConnectionTimer(asio::steady_timer &Clock, MonoTime At,
-                  std::shared_ptr<UpstreamConnection> Connection)
-      : Timer(Clock), Armed(std::make_shared<bool>(true)) {
-    this->Timer.expires_at(At);
-    this->Timer.async_wait(
-        [Armed = this->Armed,
-         Closing = std::move(Connection)](const ErrorCode &Error) {
-          ErrorCode Ignored;
-          if (!Error && *Armed)
-            Closing->Socket.close(Ignored);
-        });
-  }
-  ConnectionTimer(const ConnectionTimer &) = delete;
-  ConnectionTimer &operator=(const ConnectionTimer &) = delete;
-  ~ConnectionTimer() {
-    *this->Armed = false;
-    this->Timer.cancel();
-  }
-
-private:
-  asio::steady_timer &Timer;
-  std::shared_ptr<bool> Armed;
-};
-
 std::optional<Millis> statedIdleTime(const HttpResponse &Answer) {
   const std::string_view Text = Answer[http::field::keep_alive];
   constexpr std::string_view Key = "timeout=";
@@ -382,8 +354,8 @@
   Running.Connection =
       std::make_shared<UpstreamConnection>(Tcp::socket(this->Context));
   const std::shared_ptr<UpstreamConnection> Opening = Running.Connection;
-  const internal::ConnectionTimer Limit(
-      Running.Timer, monoNow() + internal::ConnectTimeout, Opening);
+  const ConnectionTimer Limit(Running.Timer,
+                              monoNow() + internal::ConnectTimeout, Opening);
   const auto [Error] =
       co_await Opening->Socket.async_connect(this->Address, NoThrow);
   if (Error || !Opening->Socket.is_open())
@@ -416,7 +388,7 @@
 asio::awaitable<UpstreamGate::Exchange> UpstreamGate::exchange(Call &Running) {
   Exchange Result;
   const std::shared_ptr<UpstreamConnection> Connection = Running.Connection;
-  const internal::ConnectionTimer Limit(
+  const ConnectionTimer Limit(
       Running.Timer, Running.Deadline + internal::AnswerGrace, Connection);
   HttpRequest Request = this->upstreamRequest(Running);
   const auto [WriteError, Written] =
