node: tell a crashed upstream from a live one while its sockets close

After a lost response the node opens a connection to see whether the upstream is alive. The crash was then not attributed to the request, which crashed a third upstream. Change: the connection must still be open after 50 ms. A response lost by a live upstream is reported 50 ms later.

--- a/persimmonquay/node/http_pool.cc
+++ b/persimmonquay/node/http_pool.cc
@@ -203,13 +203,16 @@
   return Result;
 }
 
-bool HttpPool::canConnect(const std::string &Address, std::uint16_t Port,
-                          Millis Timeout) {
+bool HttpPool::isListening(const std::string &Address, std::uint16_t Port,
+                           Millis ConnectTimeout, Millis ConfirmTime) {
   try {
     Poco::Net::StreamSocket Socket;
     Socket.connect(Poco::Net::SocketAddress(Address, Port),
-                   internal::toPoco(Timeout));
-    return true;
+                   internal::toPoco(ConnectTimeout));
+    // The server sends nothing before a request, so the connection becomes
+    // readable only if it is closed.
+    return !Socket.poll(internal::toPoco(ConfirmTime),
+                        Poco::Net::Socket::SELECT_READ);
   } catch (const Poco::Exception &) {
     return false;
   }
--- a/persimmonquay/node/http_pool.h
+++ b/persimmonquay/node/http_pool.h
@@ -71,9 +71,13 @@
            const CallRequest &Request, Millis Timeout,
            ConnectionPolicy Policy = ConnectionPolicy::ReuseIdle);
 
-  /// Returns whether a new connection can be opened within `Timeout`.
-  static bool canConnect(const std::string &Address, std::uint16_t Port,
-                         Millis Timeout);
+  /// Returns whether a process listens at the address: whether a connection can
+  /// be opened within `ConnectTimeout` and is then still open after
+  /// `ConfirmTime`. The second condition is needed because the kernel may close
+  /// the connections of an exiting process before its listening socket, which
+  /// completes new connections until then.
+  static bool isListening(const std::string &Address, std::uint16_t Port,
+                          Millis ConnectTimeout, Millis ConfirmTime);
 
 private:
   using Session = Poco::Net::HTTPClientSession;
--- a/persimmonquay/node/ingress.cc
+++ b/persimmonquay/node/ingress.cc
@@ -16,6 +16,10 @@
 
 constexpr std::size_t DefaultQueueLimit = 64;
 constexpr Millis CrashProbeTimeout{200};
+/// How long a connection to an upstream that lost a response must stay open to
+/// show that the process is alive. An exiting process closes its sockets within
+/// a millisecond unless its host is overloaded.
+constexpr Millis CrashConfirmTime{50};
 constexpr Millis CrashSuspectLifetime = std::chrono::hours(1);
 constexpr int ServerError = 500;
 constexpr std::uint32_t MaxSlots = 10000;
@@ -287,9 +291,10 @@
   }
   Reply.Result = AttemptResult::ResponseLost;
   const bool Crashed = !Exchange.TimedOut &&
-                       !HttpPool::canConnect(Upstream.LastAnnouncement.Address,
-                                             Upstream.LastAnnouncement.Port,
-                                             internal::CrashProbeTimeout);
+                       !HttpPool::isListening(Upstream.LastAnnouncement.Address,
+                                              Upstream.LastAnnouncement.Port,
+                                              internal::CrashProbeTimeout,
+                                              internal::CrashConfirmTime);
   // A crash counts as one failure however many calls were running; the first
   // call to detect it counts it.
   const bool AlreadyReported =
--- a/persimmonquay/node/node_test.cc
+++ b/persimmonquay/node/node_test.cc
@@ -63,6 +63,23 @@
   HttpServer Server;
 };
 
+// Guards against taking a crashed upstream for a live one. The kernel closed its
+// connections first, and its listening socket still completed the connection
+// with which the node checked whether the process was alive.
+TEST_CASE("a listening socket that is closed right away does not count as a "
+          "live process") {
+  Poco::Net::ServerSocket Listener(Poco::Net::SocketAddress(Address, 0));
+  const std::uint16_t Port = Listener.address().port();
+  CHECK(HttpPool::isListening(Address, Port, Millis(200), Millis(50)));
+  std::thread Exit([&Listener] {
+    std::this_thread::sleep_for(Millis(20));
+    Listener.close();
+  });
+  CHECK_FALSE(HttpPool::isListening(Address, Port, Millis(200), Millis(5000)));
+  Exit.join();
+  CHECK_FALSE(HttpPool::isListening(Address, Port, Millis(200), Millis(50)));
+}
+
 TEST_CASE("malformed, ambiguous and oversized requests are not served") {
   EchoServer Echo;
   const std::vector<std::pair<std::string, std::string>> Cases = {
