fleet: an announced departure binds over restarts and in any order

A node that had restarted recorded the departure with start 0, and the next late heartbeat of the same incarnation, with its start, looked like a newer one. Ruled out: a draining heartbeat, which would have logged "upstream changed". Change: departures are kept apart from the current upstream; one without a start covers every incarnation that started before it. They are stored with the node's entry before the departure is confirmed (at most 400 ms), with an epoch, so that a late write can't undo a newer one; a restarted node holds heartbeats until it has read its entry (at most 500 ms). Also a log line for each deregistration.

--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -40,6 +40,17 @@
 /// progress.
 constexpr Millis ShutdownCheckInterval{50};
 
+/// How long the confirmation of an upstream's departure waits until the store
+/// holds the departure. Leaves the upstream most of the second after which it
+/// takes its message for lost.
+constexpr Millis DepartureStoreTimeout{400};
+
+/// Time after the start for which heartbeats wait for the entry that an earlier
+/// run has stored: several round trips to the store. If the store doesn't
+/// respond by then, the upstream is used on the strength of its heartbeat.
+constexpr Millis StoredEntryTimeout{500};
+constexpr Millis StoredEntryCheckInterval{10};
+
 /// Interval at which the lag of the event loop is measured and buffered log
 /// lines are written.
 constexpr Millis LoopMeasureInterval{250};
@@ -86,6 +97,11 @@
   return *this;
 }
 
+MeshNode::Builder &MeshNode::Builder::entryWriter(EntryWriter StoreWriter) {
+  this->WriteEntry = std::move(StoreWriter);
+  return *this;
+}
+
 absl::StatusOr<std::unique_ptr<MeshNode>> MeshNode::Builder::build() {
   struct {
     const std::string &Text;
@@ -107,6 +123,7 @@
     : Context(Setup.Context), Settings(Setup.Settings),
       CallerAddress(Setup.CallerAddress), LinkAddress(Setup.LinkAddress),
       UpstreamAddress(Setup.UpstreamAddress), Names(Setup.Names),
+      WriteEntry(Setup.WriteEntry),
       Directory(Setup.Settings.node(),
                 static_cast<std::uint64_t>(unixMillis(wallNow()))),
       Gate(Setup.Context, Setup.Names, Setup.UpstreamAddress,
@@ -292,6 +309,7 @@
 }
 
 void MeshNode::mergeStoredNodes(const std::vector<proto::NodeEntry> &Entries) {
+  this->HasStoredEntries = true;
   const MonoTime Now = monoNow();
   std::vector<proto::NodeEntry> UpdatedEntries;
   for (const proto::NodeEntry &Entry : Entries)
@@ -308,8 +326,26 @@
   this->Router.updateNodes(this->Directory);
 }
 
-void MeshNode::restoreUpstream(const proto::UpstreamEntry &Stored) {
-  this->StoredUpstream = Stored;
+proto::NodeEntry MeshNode::entryToStore() const {
+  proto::NodeEntry Result = this->Directory.ownEntry();
+  // Without boot and revision, any copy of the entry that arrives by datagram
+  // counts as newer.
+  Result.clear_boot();
+  Result.clear_revision();
+  Result.clear_leaving();
+  if (Result.upstream().draining())
+    Result.clear_upstream();
+  for (const proto::DepartedUpstream &Departure : this->Registry.departures())
+    *Result.add_departed_upstreams() = Departure;
+  return Result;
+}
+
+void MeshNode::restoreOwnEntry(const proto::NodeEntry &Stored) {
+  if (this->Registry.restoreDepartures(Stored.departed_upstreams()))
+    this->handleUpstreamChange();
+  if (!Stored.has_upstream())
+    return;
+  this->StoredUpstream = Stored.upstream();
   this->checkStoredUpstream();
 }
 
@@ -348,15 +384,50 @@
     this->handleUpstreamChange();
 }
 
-void MeshNode::applyHeartbeat(const Heartbeat &Received) {
+asio::awaitable<void> MeshNode::awaitStoredEntry() {
+  const MonoTime End = this->StartedAt + internal::StoredEntryTimeout;
+  asio::steady_timer Timer(this->Context);
+  while (!this->HasStoredEntries && !this->Settings.first_start() &&
+         monoNow() < End) {
+    Timer.expires_after(internal::StoredEntryCheckInterval);
+    co_await Timer.async_wait(NoThrow);
+  }
+}
+
+asio::awaitable<void> MeshNode::applyHeartbeat(Heartbeat Received) {
+  co_await this->awaitStoredEntry();
   if (this->Registry.apply(Received, monoNow()))
     this->handleUpstreamChange();
+  if (Received.Draining)
+    co_await this->storeDepartures();
 }
 
-void MeshNode::deregisterUpstream(const std::string &Instance,
-                                  std::uint64_t StartedUnixMs) {
-  if (this->Registry.deregister(Instance, StartedUnixMs))
+asio::awaitable<void>
+MeshNode::deregisterUpstream(std::string Instance,
+                             std::uint64_t StartedUnixMs) {
+  const std::optional<proto::UpstreamEntry> Known = this->Registry.upstream();
+  const bool Changed =
+      this->Registry.deregister(Instance, StartedUnixMs, wallNow());
+  logLine(LogLevel::Info, "upstream deregistered",
+          {{"instance", Instance},
+           {"started_unix_ms", std::to_string(StartedUnixMs)},
+           {"known_instance", Known ? Known->instance() : ""},
+           {"known_started_unix_ms",
+            Known ? std::to_string(Known->started_unix_ms()) : ""},
+           {"outcome", Changed ? "withdrawn" : "was not in use"}});
+  if (Changed)
     this->handleUpstreamChange();
+  co_await this->storeDepartures();
+}
+
+asio::awaitable<void> MeshNode::storeDepartures() {
+  if (!this->WriteEntry)
+    co_return;
+  const absl::Status Result =
+      co_await this->WriteEntry(internal::DepartureStoreTimeout);
+  if (!Result.ok())
+    logLine(LogLevel::Warning, "departure of upstream not stored yet",
+            {{"error", std::string(Result.message())}});
 }
 
 void MeshNode::handleUpstreamChange() {
--- a/persimmonquay/daemon/mesh_node.h
+++ b/persimmonquay/daemon/mesh_node.h
@@ -35,6 +35,11 @@
 /// thread.
 class MeshNode {
 public:
+  /// Stores `entryToStore()`. Returns DeadlineExceeded if it has not been
+  /// stored within the given time; the attempts then go on.
+  using EntryWriter =
+      std::function<asio::awaitable<absl::Status>(Millis Timeout)>;
+
   /// Collects what a node needs and builds it.
   class Builder {
   public:
@@ -43,6 +48,8 @@
     Builder &headerNames(HeaderNames PlatformNames);
     /// Sets the function that stores the states of rollouts.
     Builder &statusWriter(RolloutDriver::StatusWriter StoreWriter);
+    /// Sets the function that stores this node's entry.
+    Builder &entryWriter(EntryWriter StoreWriter);
     /// Returns InvalidArgument if an address in the settings is invalid.
     absl::StatusOr<std::unique_ptr<MeshNode>> build();
 
@@ -52,6 +59,7 @@
     proto::SidecarSettings Settings;
     HeaderNames Names;
     RolloutDriver::StatusWriter Writer;
+    EntryWriter WriteEntry;
     Tcp::endpoint CallerAddress;
     Tcp::endpoint LinkAddress;
     Tcp::endpoint UpstreamAddress;
@@ -78,16 +86,23 @@
   void addRolloutOrder(const proto::RolloutOrder &Order);
 
   /// Merges stored entries of other nodes and joins the mesh through those that
-  /// are new or newer than the known ones.
+  /// are new or newer than the known ones. Called after `restoreOwnEntry()`.
   void mergeStoredNodes(const std::vector<proto::NodeEntry> &Entries);
 
-  /// Restores the upstream that an earlier run of this node stored, once a
-  /// health check shows that the same instance is running and healthy.
-  void restoreUpstream(const proto::UpstreamEntry &Stored);
+  /// Restores what an earlier run of this node stored: the upstreams that had
+  /// departed and, once a health check shows that the same instance is running
+  /// and healthy, its upstream.
+  void restoreOwnEntry(const proto::NodeEntry &Stored);
+
+  /// Applies a heartbeat. Returns when it may be confirmed to the upstream: if
+  /// it announces that the upstream leaves, after that has been stored or can't
+  /// be stored soon.
+  asio::awaitable<void> applyHeartbeat(Heartbeat Received);
 
-  void applyHeartbeat(const Heartbeat &Received);
-  void deregisterUpstream(const std::string &Instance,
-                          std::uint64_t StartedUnixMs);
+  /// Withdraws the upstream that deregisters. Returns when that may be
+  /// confirmed, as `applyHeartbeat()`. `StartedUnixMs` is 0 if unknown.
+  asio::awaitable<void> deregisterUpstream(std::string Instance,
+                                           std::uint64_t StartedUnixMs);
 
   /// Stops gracefully: refuses new callers, then new calls for the upstream,
   /// then waits for the requests and calls in progress. Calls `OnStopped` when
@@ -104,9 +119,10 @@
   /// deliver a newer configuration.
   bool shouldFollowStore() const;
 
-  const proto::NodeEntry &ownEntry() const {
-    return this->Directory.ownEntry();
-  }
+  /// Returns this node's entry as it should be stored: it lets other nodes find
+  /// this one, and lets this node find its upstream again after a restart and
+  /// remember those that have departed.
+  proto::NodeEntry entryToStore() const;
 
   /// Returns the current metrics in the text format of Prometheus.
   std::string metricsText();
@@ -115,6 +131,12 @@
 private:
   explicit MeshNode(const Builder &Setup);
 
+  /// Waits for a limited time until the entry that an earlier run has stored is
+  /// known, so that a late heartbeat can't bring back an upstream whose
+  /// departure that run has confirmed.
+  asio::awaitable<void> awaitStoredEntry();
+  /// Waits for a limited time until the departures of upstreams are stored.
+  asio::awaitable<void> storeDepartures();
   void checkStoredUpstream();
   asio::awaitable<void> restoreIfSameInstance(std::string HealthPath);
   void handleUpstreamChange();
@@ -135,6 +157,7 @@
   Tcp::endpoint LinkAddress;
   Tcp::endpoint UpstreamAddress;
   HeaderNames Names;
+  EntryWriter WriteEntry;
   Metrics NodeMetrics;
   NodeDirectory Directory;
   UpstreamRegistry Registry;
@@ -154,6 +177,8 @@
   Millis LongestIdleTimeout{0};
   bool Stopping = false;
   bool FollowsStore = false;
+  /// Whether the entries that were stored before this run are known.
+  bool HasStoredEntries = false;
   MonoTime StartedAt;
   MonoTime ConfigurationAppliedAt;
   MonoTime TrafficLoggedAt;
--- a/persimmonquay/fleet/fleet_test.cc
+++ b/persimmonquay/fleet/fleet_test.cc
@@ -76,6 +76,9 @@
   return Result;
 }
 
+/// Later than the start of every upstream in these tests.
+const WallTime WallNow = wallTimeFromUnixMillis(60000);
+
 TEST_CASE("a heartbeat of an earlier incarnation is ignored") {
   UpstreamRegistry Registry;
   const MonoTime Now = monoNow();
@@ -111,12 +114,12 @@
   UpstreamRegistry Registry;
   const MonoTime Now = monoNow();
   Registry.apply(makeHeartbeat("i-1", 1000, 1), Now);
-  CHECK(Registry.deregister("i-1", 1000));
+  CHECK(Registry.deregister("i-1", 1000, WallNow));
   CHECK_FALSE(Registry.apply(makeHeartbeat("i-1", 1000, 2), Now));
   CHECK_FALSE(Registry.upstream().has_value());
   CHECK(Registry.apply(makeHeartbeat("i-2", 4000, 1), Now));
   // The deregistration of the earlier upstream is repeated.
-  CHECK_FALSE(Registry.deregister("i-1", 1000));
+  CHECK_FALSE(Registry.deregister("i-1", 1000, WallNow));
   CHECK(Registry.upstream()->instance() == "i-2");
 }
 
@@ -143,7 +146,7 @@
   CHECK_FALSE(Registered.restore(*Earlier.upstream(), Now));
   CHECK(Registered.upstream()->instance() == "i-2");
   UpstreamRegistry Deregistered;
-  Deregistered.deregister("i-1", 1000);
+  Deregistered.deregister("i-1", 1000, WallNow);
   CHECK_FALSE(Deregistered.restore(*Earlier.upstream(), Now));
   CHECK_FALSE(Deregistered.apply(makeHeartbeat("i-1", 1000, 8), Now));
   proto::UpstreamEntry Draining = *Earlier.upstream();
@@ -160,5 +163,183 @@
   CHECK(Registry.apply(makeHeartbeat("i-1", 1000, 2), Now + Millis(9500)));
 }
 
+TEST_CASE("a departure without a start binds before the first heartbeat") {
+  const MonoTime Now = monoNow();
+  UpstreamRegistry Registry;
+  CHECK_FALSE(Registry.deregister("i-1", 0, WallNow));
+  CHECK_FALSE(Registry.apply(makeHeartbeat("i-1", 1000, 7), Now));
+  CHECK_FALSE(Registry.upstream().has_value());
+  // The same instance starts again after its departure.
+  CHECK(Registry.apply(makeHeartbeat("i-1", 63000, 1), Now));
+  CHECK_FALSE(Registry.upstream()->draining());
+}
+
+TEST_CASE("departures are kept for the latest upstreams only") {
+  UpstreamRegistry Registry;
+  for (int I = 0; I < 100; ++I)
+    Registry.deregister("i-" + std::to_string(I), 1000, WallNow);
+  CHECK(Registry.departures().size() == 8);
+  CHECK(Registry.departures().back().instance() == "i-99");
+}
+
+/// A registry, what it has stored, and two incarnations of one instance: "old",
+/// which leaves, and "new", which starts after that.
+class DepartureModel {
+public:
+  enum class Step {
+    OldHeartbeat,
+    LateOldHeartbeat,
+    OldDraining,
+    OldDeregistersWithStart,
+    OldDeregistersWithoutStart,
+    Expire,
+    StoreEntry,
+    Restart,
+    StoredEntryArrives,
+    NewHeartbeat,
+  };
+  static constexpr int StepCount = 10;
+
+  /// Returns false if the step can't occur now.
+  bool perform(Step Next) {
+    switch (Next) {
+    case Step::OldHeartbeat:
+      if (this->OldHasLeft)
+        return false;
+      this->Registry.apply(makeHeartbeat("i-1", OldStart, ++this->OldSequence),
+                           this->Now);
+      break;
+    case Step::LateOldHeartbeat:
+      // Sent before the departure and not delivered yet.
+      this->Registry.apply(makeHeartbeat("i-1", OldStart, ++this->OldSequence),
+                           this->Now);
+      break;
+    case Step::OldDraining: {
+      Heartbeat Draining = makeHeartbeat("i-1", OldStart, ++this->OldSequence);
+      Draining.Draining = true;
+      this->Registry.apply(Draining, this->Now);
+      this->OldHasLeft = true;
+      break;
+    }
+    case Step::OldDeregistersWithStart:
+      this->Registry.deregister("i-1", OldStart, WallNow);
+      this->OldHasLeft = true;
+      break;
+    case Step::OldDeregistersWithoutStart:
+      if (this->NewHasStarted)
+        return false;
+      this->Registry.deregister("i-1", 0, WallNow);
+      this->OldHasLeft = true;
+      break;
+    case Step::Expire:
+      this->Now += Millis(100000);
+      this->Registry.expire(Millis(9000), this->Now);
+      break;
+    case Step::StoreEntry:
+      this->store();
+      break;
+    case Step::Restart:
+      this->Registry = UpstreamRegistry();
+      break;
+    case Step::StoredEntryArrives:
+      this->Registry.restoreDepartures(this->Stored.departed_upstreams());
+      if (this->Stored.has_upstream())
+        this->Registry.restore(this->Stored.upstream(), this->Now);
+      break;
+    case Step::NewHeartbeat:
+      if (!this->OldHasLeft)
+        return false;
+      this->NewHasStarted = true;
+      this->Registry.apply(makeHeartbeat("i-1", NewStart, ++this->NewSequence),
+                           this->Now);
+      break;
+    }
+    if (Next == Step::OldDraining || Next == Step::OldDeregistersWithStart ||
+        Next == Step::OldDeregistersWithoutStart)
+      this->store();
+    return true;
+  }
+
+  /// Returns whether the old incarnation gets no calls once it has left, and
+  /// the new one gets calls after its heartbeat.
+  bool keepsPromise(Step Last) const {
+    const std::optional<proto::UpstreamEntry> &Upstream =
+        this->Registry.upstream();
+    if (Last == Step::NewHeartbeat)
+      return Upstream && !Upstream->draining() &&
+             Upstream->started_unix_ms() == NewStart;
+    return !this->OldHasLeft || !Upstream || Upstream->draining() ||
+           Upstream->started_unix_ms() == NewStart;
+  }
+
+private:
+  static constexpr std::uint64_t OldStart = 1000;
+  static constexpr std::uint64_t NewStart = 63000;
+
+  void store() {
+    this->Stored.clear_upstream();
+    if (this->Registry.upstream() && !this->Registry.upstream()->draining())
+      *this->Stored.mutable_upstream() = *this->Registry.upstream();
+    this->Stored.clear_departed_upstreams();
+    for (const proto::DepartedUpstream &Departure : this->Registry.departures())
+      *this->Stored.add_departed_upstreams() = Departure;
+  }
+
+  UpstreamRegistry Registry;
+  proto::NodeEntry Stored;
+  MonoTime Now = monoNow();
+  std::uint64_t OldSequence = 0;
+  std::uint64_t NewSequence = 0;
+  bool OldHasLeft = false;
+  bool NewHasStarted = false;
+};
+
+// Guards against an upstream that is used again after its departure was
+// confirmed: a node that had just restarted confirmed the departure before it
+// had heard of the upstream, and took it back with a late heartbeat.
+TEST_CASE("a departed upstream is not used again in any order of events") {
+  using Step = DepartureModel::Step;
+  constexpr int Length = 5;
+  int Checked = 0;
+  int Sequences = 1;
+  for (int I = 0; I < Length; ++I)
+    Sequences *= DepartureModel::StepCount;
+  for (int Sequence = 0; Sequence < Sequences; ++Sequence) {
+    DepartureModel Model;
+    std::string Trace;
+    bool IsAwaitingStoredEntry = false;
+    for (int I = 0, Rest = Sequence; I < Length;
+         ++I, Rest /= DepartureModel::StepCount) {
+      const Step Next = static_cast<Step>(Rest % DepartureModel::StepCount);
+      // A restarted node reads its stored entry before it applies what it
+      // hears of its upstream.
+      if (IsAwaitingStoredEntry && Next != Step::StoredEntryArrives)
+        break;
+      if (!Model.perform(Next))
+        break;
+      IsAwaitingStoredEntry = Next == Step::Restart;
+      Trace += std::to_string(static_cast<int>(Next)) + " ";
+      ++Checked;
+      if (!Model.keepsPromise(Next))
+        FAIL("the promise is broken after the steps " << Trace);
+    }
+  }
+  CHECK(Checked > 10000);
+}
+
+TEST_CASE("a heartbeat that overtakes the stored departure is undone by it") {
+  const MonoTime Now = monoNow();
+  UpstreamRegistry Earlier;
+  Earlier.deregister("i-1", 0, WallNow);
+  proto::NodeEntry Stored;
+  *Stored.add_departed_upstreams() = Earlier.departures().front();
+  UpstreamRegistry Restarted;
+  CHECK(Restarted.apply(makeHeartbeat("i-1", 1000, 7), Now));
+  CHECK(Restarted.restoreDepartures(Stored.departed_upstreams()));
+  CHECK(Restarted.upstream()->draining());
+  CHECK_FALSE(Restarted.apply(makeHeartbeat("i-1", 1000, 8), Now));
+  CHECK(Restarted.upstream()->draining());
+}
+
 } // namespace
 } // namespace persimmonquay
--- a/persimmonquay/fleet/upstream_registry.cc
+++ b/persimmonquay/fleet/upstream_registry.cc
@@ -1,16 +1,69 @@
 #include "persimmonquay/fleet/upstream_registry.h"
 
+#include <algorithm>
 #include <google/protobuf/util/message_differencer.h>
 
 namespace persimmonquay {
+namespace internal {
+
+/// Number of departures that are kept. A host has one upstream at a time, and
+/// heartbeats are late by seconds, in which only a few can leave.
+constexpr std::size_t MaxDepartures = 8;
+
+/// Difference between the clocks of a node and of its upstream up to which a
+/// departure without a start still covers an upstream that has just started. An
+/// upstream that starts again does so later than this: it keeps running for its
+/// drain timeout first.
+constexpr Millis ClockTolerance{1000};
+
+} // namespace internal
+
+bool UpstreamRegistry::hasDeparted(const std::string &InstanceName,
+                                   std::uint64_t IncarnationStart) const {
+  return std::any_of(this->Departures.begin(), this->Departures.end(),
+                     [&](const proto::DepartedUpstream &Departure) {
+                       return Departure.instance() == InstanceName &&
+                              IncarnationStart <=
+                                  Departure.started_up_to_unix_ms();
+                     });
+}
+
+void UpstreamRegistry::recordDeparture(const std::string &InstanceName,
+                                       std::uint64_t StartedUpTo) {
+  const auto Found =
+      std::find_if(this->Departures.begin(), this->Departures.end(),
+                   [&InstanceName](const proto::DepartedUpstream &Departure) {
+                     return Departure.instance() == InstanceName;
+                   });
+  if (Found != this->Departures.end()) {
+    Found->set_started_up_to_unix_ms(
+        std::max<std::uint64_t>(Found->started_up_to_unix_ms(), StartedUpTo));
+    return;
+  }
+  proto::DepartedUpstream Departure;
+  Departure.set_instance(InstanceName);
+  Departure.set_started_up_to_unix_ms(StartedUpTo);
+  this->Departures.push_back(std::move(Departure));
+  if (this->Departures.size() > internal::MaxDepartures)
+    this->Departures.erase(this->Departures.begin());
+}
 
 bool UpstreamRegistry::apply(const Heartbeat &Received, MonoTime Now) {
+  if (Received.Draining)
+    this->recordDeparture(Received.Instance, Received.StartedUnixMs);
   if (Received.StartedUnixMs < this->StartedUnixMs)
     return false;
-  const bool SameIncarnation = Received.StartedUnixMs == this->StartedUnixMs &&
-                               Received.Instance == this->Instance;
-  if (SameIncarnation &&
-      (Received.Sequence <= this->Sequence || this->Deregistered))
+  const bool IsSameIncarnation =
+      Received.StartedUnixMs == this->StartedUnixMs &&
+      Received.Instance == this->Instance;
+  if (IsSameIncarnation && Received.Sequence <= this->Sequence)
+    return false;
+  const bool IsDeparted =
+      this->hasDeparted(Received.Instance, Received.StartedUnixMs);
+  // An upstream that has deregistered doesn't come back as draining.
+  if (IsDeparted && !Received.Draining && !(IsSameIncarnation && this->Current))
+    return false;
+  if (IsDeparted && IsSameIncarnation && !this->Current)
     return false;
   proto::UpstreamEntry Next;
   Next.set_instance(Received.Instance);
@@ -18,12 +71,10 @@
   Next.set_version(Received.Version);
   Next.set_slots(Received.Slots);
   Next.set_started_unix_ms(Received.StartedUnixMs);
-  Next.set_draining(Received.Draining || (SameIncarnation && this->Current &&
-                                          this->Current->draining()));
+  Next.set_draining(IsDeparted);
   this->Instance = Received.Instance;
   this->StartedUnixMs = Received.StartedUnixMs;
   this->Sequence = Received.Sequence;
-  this->Deregistered = false;
   this->LastSeenAt = Now;
   const bool Changed =
       !this->Current ||
@@ -34,7 +85,8 @@
 
 bool UpstreamRegistry::restore(const proto::UpstreamEntry &Stored,
                                MonoTime Now) {
-  if (!this->Instance.empty() || Stored.draining())
+  if (this->hasSeenUpstream() || Stored.draining() ||
+      this->hasDeparted(Stored.instance(), Stored.started_unix_ms()))
     return false;
   this->Instance = Stored.instance();
   this->StartedUnixMs = Stored.started_unix_ms();
@@ -43,25 +95,32 @@
   return true;
 }
 
-bool UpstreamRegistry::deregister(const std::string &LeavingInstance,
-                                  std::uint64_t LeavingStartedUnixMs) {
-  if (this->Instance.empty()) {
-    // Keeps the stored entry of this upstream from being restored.
-    this->Instance = LeavingInstance;
-    this->StartedUnixMs = LeavingStartedUnixMs;
-    this->Deregistered = true;
-    return false;
-  }
-  if (LeavingInstance != this->Instance ||
-      (LeavingStartedUnixMs != 0 && LeavingStartedUnixMs < this->StartedUnixMs))
+bool UpstreamRegistry::restoreDepartures(
+    const google::protobuf::RepeatedPtrField<proto::DepartedUpstream> &Stored) {
+  for (const proto::DepartedUpstream &Departure : Stored)
+    this->recordDeparture(Departure.instance(),
+                          Departure.started_up_to_unix_ms());
+  if (!this->Current || this->Current->draining() ||
+      !this->hasDeparted(this->Instance, this->StartedUnixMs))
     return false;
-  this->Deregistered = true;
-  const bool Changed = this->Current.has_value();
-  this->Current.reset();
-  return Changed;
+  this->Current->set_draining(true);
+  return true;
 }
 
-bool UpstreamRegistry::withdrawReplaced() {
+bool UpstreamRegistry::deregister(const std::string &LeavingInstance,
+                                  std::uint64_t LeavingStartedUnixMs,
+                                  WallTime Now) {
+  this->HasSeenDeparture = true;
+  const bool IsKnownInstance = LeavingInstance == this->Instance;
+  std::uint64_t StartedUpTo = LeavingStartedUnixMs;
+  if (StartedUpTo == 0)
+    StartedUpTo = IsKnownInstance && this->StartedUnixMs != 0
+                      ? this->StartedUnixMs
+                      : static_cast<std::uint64_t>(
+                            unixMillis(Now + internal::ClockTolerance));
+  this->recordDeparture(LeavingInstance, StartedUpTo);
+  if (!IsKnownInstance || this->StartedUnixMs > StartedUpTo)
+    return false;
   const bool Changed = this->Current.has_value();
   this->Current.reset();
   return Changed;
--- a/persimmonquay/fleet/upstream_registry.h
+++ b/persimmonquay/fleet/upstream_registry.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace persimmonquay {
 
@@ -26,9 +27,14 @@
 };
 
 /// Keeps the newest incarnation of the local upstream. Heartbeats that arrive
-/// late, out of order or from an earlier incarnation are ignored. An
+/// late, out of order or from an earlier incarnation are ignored.
+///
+/// Handles an upstream that leaves while the node restarts, in any order of
+/// stored entry, heartbeats, announcement of the departure and restarts: an
 /// incarnation that has reported draining or has deregistered never takes new
-/// calls again.
+/// calls again. Departures are kept apart from the current upstream, so that
+/// they also bind for upstreams that this run has not heard of, and can be
+/// stored and restored.
 ///
 /// Does no I/O and reads no clock. Not thread-safe.
 ///
@@ -43,18 +49,21 @@
   bool apply(const Heartbeat &Received, MonoTime Now);
 
   /// Restores the upstream that was stored before this node's start. Does
-  /// nothing if the stored upstream was draining, or if an upstream has sent a
-  /// heartbeat or deregistered since. The next heartbeat replaces the restored
-  /// entry.
+  /// nothing if the stored upstream was draining or has departed, or if an
+  /// upstream has sent a heartbeat or deregistered since. The next heartbeat
+  /// replaces the restored entry.
   bool restore(const proto::UpstreamEntry &Stored, MonoTime Now);
 
+  /// Adds departures that an earlier run of this node has stored.
+  bool restoreDepartures(
+      const google::protobuf::RepeatedPtrField<proto::DepartedUpstream> &);
+
   /// Withdraws the upstream that deregisters; a later incarnation stays.
-  /// `LeavingStartedUnixMs` is 0 if the upstream did not state its start.
+  /// `LeavingStartedUnixMs` is 0 if the upstream did not state its start. In
+  /// that case, and if no incarnation of the instance is known, every
+  /// incarnation that started before about `Now` has departed.
   bool deregister(const std::string &LeavingInstance,
-                  std::uint64_t LeavingStartedUnixMs);
-
-  /// Withdraws the upstream because another one responds at its address.
-  bool withdrawReplaced();
+                  std::uint64_t LeavingStartedUnixMs, WallTime Now);
 
   /// Withdraws the upstream if its last heartbeat is older than `MaxSilence`.
   bool expire(Millis MaxSilence, MonoTime Now);
@@ -68,15 +77,31 @@
 
   /// Returns whether an upstream has registered, deregistered or been restored
   /// since this node's start.
-  bool hasSeenUpstream() const { return !this->Instance.empty(); }
+  bool hasSeenUpstream() const {
+    return !this->Instance.empty() || this->HasSeenDeparture;
+  }
+
+  /// Returns the latest departures, oldest first.
+  const std::vector<proto::DepartedUpstream> &departures() const {
+    return this->Departures;
+  }
 
 private:
+  /// Returns whether an incarnation has announced that it leaves.
+  bool hasDeparted(const std::string &InstanceName,
+                   std::uint64_t IncarnationStart) const;
+  /// Records that the incarnations of an instance that started up to
+  /// `StartedUpTo` have departed.
+  void recordDeparture(const std::string &InstanceName,
+                       std::uint64_t StartedUpTo);
+
   std::optional<proto::UpstreamEntry> Current;
   /// The newest incarnation, kept after it is withdrawn.
   std::string Instance;
   std::uint64_t StartedUnixMs = 0;
   std::uint64_t Sequence = 0;
-  bool Deregistered = false;
+  std::vector<proto::DepartedUpstream> Departures;
+  bool HasSeenDeparture = false;
   MonoTime LastSeenAt;
 };
 
--- a/testing/platform/platform_test.cc
+++ b/testing/platform/platform_test.cc
@@ -450,6 +450,79 @@
               .Status == 503);
 }
 
+/// Kills the node next to the upstream and starts it again. Returns when it
+/// confirms the messages of its upstream.
+void restartNode(SmallMesh &Mesh, TestNode &Node) {
+  Mesh.startNode(Node);
+  REQUIRE(eventually(WaitTimeout, [&] {
+    return sendBytes(Node.RegistrationPort,
+                     "GET /none HTTP/1.1\r\nHost: x\r\n"
+                     "Connection: close\r\n\r\n",
+                     WaitTimeout)
+        .starts_with("HTTP/1.1 404");
+  }));
+}
+
+/// Sends a few calls and checks that none reaches the upstream.
+void checkUnused(TwoNodes &Setup, const std::string &IdPrefix) {
+  for (int I = 0; I < 5; ++I) {
+    const std::string Id = absl::StrCat(IdPrefix, I);
+    CHECK(Setup.Mesh.call(Setup.Caller, {.RequestId = Id}).Status == 503);
+    CHECK(receivedCount(*Setup.Server.Upstream, Id) == 0);
+  }
+}
+
+// The upstream claims to be healthy until it exits, so that only the memory of
+// its departure keeps the node from using it.
+TEST_CASE("a departed upstream stays unused over restarts of its node") {
+  TwoNodes Setup;
+  restartNode(Setup.Mesh, Setup.Server);
+  CHECK(Setup.Mesh.deregister(Setup.Server) == 200);
+  // A heartbeat that was sent before the departure arrives late.
+  CHECK(Setup.Mesh.heartbeat(Setup.Server) == 200);
+  checkUnused(Setup, "left-");
+  for (int Restart = 0; Restart < 2; ++Restart) {
+    restartNode(Setup.Mesh, Setup.Server);
+    CHECK(Setup.Mesh.heartbeat(Setup.Server) == 200);
+    checkUnused(Setup, absl::StrCat("restart-", Restart, "-"));
+  }
+  // A later incarnation of the instance is used.
+  Setup.Server.StartedUnixMs += 3600000;
+  Setup.Server.Sequence = 0;
+  CHECK(Setup.Mesh.heartbeat(Setup.Server) == 200);
+  CHECK(eventually(WaitTimeout, [&] {
+    return Setup.Mesh.call(Setup.Caller, {.RequestId = "new"}).Status == 200;
+  }));
+}
+
+TEST_CASE("an entry that is stored late does not undo a later departure") {
+  TwoNodes Setup;
+  const auto StoredEntry = [&] {
+    return Setup.Mesh.store()
+        .newestValue("keyed.nodes", Setup.Server.Name)
+        .value_or("");
+  };
+  REQUIRE(eventually(WaitTimeout, [&] {
+    return StoredEntry().find(Setup.Server.Instance) != std::string::npos;
+  }));
+  // The first of two departures is stored late.
+  Setup.Mesh.store().delayAppends(1);
+  CHECK(Setup.Mesh.deregister(Setup.Server) == 200);
+  Setup.Server.Instance = "i-second";
+  Setup.Server.StartedUnixMs += 10000;
+  CHECK(Setup.Mesh.heartbeat(Setup.Server) == 200);
+  CHECK(Setup.Mesh.heartbeat(Setup.Server, "draining") == 200);
+  REQUIRE(eventually(WaitTimeout, [&] {
+    return StoredEntry().find("i-second") != std::string::npos;
+  }));
+  const std::string BeforeLateAppend = StoredEntry();
+  Setup.Mesh.store().carryOutDelayed();
+  CHECK(StoredEntry() == BeforeLateAppend);
+  restartNode(Setup.Mesh, Setup.Server);
+  CHECK(Setup.Mesh.heartbeat(Setup.Server) == 200);
+  checkUnused(Setup, "left-");
+}
+
 TEST_CASE("a node is found although the response to storing it was lost") {
   SmallMesh Mesh;
   Mesh.store().loseAppendResponses(1);
--- a/testing/platform/small_mesh.cc
+++ b/testing/platform/small_mesh.cc
@@ -155,6 +155,13 @@
   return exchange(Node.RegistrationPort, Request, Body.dump()).Status;
 }
 
+int SmallMesh::deregister(TestNode &Node) {
+  Poco::Net::HTTPRequest Request(
+      "POST", absl::StrCat("/-/Instances.Deregister/", Node.Instance),
+      "HTTP/1.1");
+  return exchange(Node.RegistrationPort, Request, "").Status;
+}
+
 void SmallMesh::publish(std::uint64_t Version, const std::string &Service,
                         std::uint32_t TimeoutMs,
                         const std::vector<std::string> &ExtraPaths) {
--- a/testing/platform/small_mesh.h
+++ b/testing/platform/small_mesh.h
@@ -73,6 +73,10 @@
   int heartbeat(TestNode &Node, const std::string &State = "ready",
                 std::uint32_t Slots = 4);
 
+  /// Deregisters the node's upstream, without its start time, as upstreams that
+  /// never report draining do; returns the status of the response.
+  int deregister(TestNode &Node);
+
   /// Publishes a configuration in which host "boards.example" has routes to
   /// `Service` for the paths "/views/" (safe), "/orders/" (unsafe) and
   /// `ExtraPaths` (safe).
--- a/testing/platform/store_stand_in.cc
+++ b/testing/platform/store_stand_in.cc
@@ -30,6 +30,23 @@
   return Value;
 }
 
+/// Returns whether the condition and the epoch of an append hold, and records
+/// the epoch.
+bool isAllowed(const std::map<std::string, std::string> &Query,
+               std::uint64_t EndOffset,
+               std::map<std::string, std::uint64_t> &Epochs) {
+  if (Query.contains("at") && std::stoull(Query.at("at")) != EndOffset)
+    return false;
+  if (!Query.contains("producer"))
+    return true;
+  std::uint64_t &HighestEpoch = Epochs[Query.at("producer")];
+  const std::uint64_t Epoch = std::stoull(Query.at("epoch"));
+  if (Epoch < HighestEpoch)
+    return false;
+  HighestEpoch = Epoch;
+  return true;
+}
+
 } // namespace
 
 StoreStandIn::StoreStandIn() : Port(freePort()) {
@@ -121,17 +138,22 @@
     sendText(Response, 404, "unknown call");
 }
 
-void StoreStandIn::append(const std::map<std::string, std::string> &Query,
-                          const std::string &Body,
-                          Poco::Net::HTTPServerResponse &Response) {
-  std::unique_lock<std::mutex> Lock(this->Mutex);
-  Topic &TopicLog = this->Topics[Query.at("topic")];
-  const std::uint64_t AppendOffset = TopicLog.EndOffset;
-  if (Query.contains("at") &&
-      std::stoull(Query.at("at")) != TopicLog.EndOffset) {
-    sendText(Response, 412, Json{{"end", TopicLog.EndOffset}}.dump());
-    return;
+void StoreStandIn::delayAppends(int Count) {
+  const std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->AppendsToDelay = Count;
+}
+
+void StoreStandIn::carryOutDelayed() {
+  const std::lock_guard<std::mutex> Lock(this->Mutex);
+  for (const auto &[Query, Body] : this->DelayedAppends) {
+    Topic &TopicLog = this->Topics[Query.at("topic")];
+    if (isAllowed(Query, TopicLog.EndOffset, TopicLog.Epochs))
+      this->appendAll(TopicLog, Body);
   }
+  this->DelayedAppends.clear();
+}
+
+void StoreStandIn::appendAll(Topic &TopicLog, const std::string &Body) {
   for (std::size_t Position = 0; Position + 4 < Body.size();) {
     const std::uint64_t Length = fromBigEndian(Body.substr(Position, 4));
     const auto KeyLength = static_cast<unsigned char>(Body[Position + 4]);
@@ -140,6 +162,28 @@
         Body.substr(Position + 5 + KeyLength, Length - 1 - KeyLength));
     Position += 4 + Length;
   }
+}
+
+void StoreStandIn::append(const std::map<std::string, std::string> &Query,
+                          const std::string &Body,
+                          Poco::Net::HTTPServerResponse &Response) {
+  std::unique_lock<std::mutex> Lock(this->Mutex);
+  if (this->AppendsToDelay > 0) {
+    --this->AppendsToDelay;
+    this->DelayedAppends.emplace_back(Query, Body);
+    sendText(Response, 504, "delayed");
+    return;
+  }
+  Topic &TopicLog = this->Topics[Query.at("topic")];
+  const std::uint64_t AppendOffset = TopicLog.EndOffset;
+  if (!isAllowed(Query, TopicLog.EndOffset, TopicLog.Epochs)) {
+    if (Query.contains("at"))
+      sendText(Response, 412, Json{{"end", TopicLog.EndOffset}}.dump());
+    else
+      sendText(Response, 409, Json{{"why", "fenced"}}.dump());
+    return;
+  }
+  this->appendAll(TopicLog, Body);
   if (this->ResponsesToLose > 0) {
     --this->ResponsesToLose;
     Lock.unlock();
--- a/testing/platform/store_stand_in.h
+++ b/testing/platform/store_stand_in.h
@@ -11,12 +11,14 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace persimmonquay::testing {
 
 /// Keeps keyed topics with one partition each in memory. Serves log-append with
-/// its condition, log-read with its wait, and log-newest, and can inject
-/// faults. Thread-safe.
+/// its condition or epoch, log-read with its wait, and log-newest, and can
+/// inject faults. Thread-safe.
 class StoreStandIn {
 public:
   StoreStandIn();
@@ -39,6 +41,11 @@
   /// lost response, it does not tell whether the append was carried out.
   void loseAppendResponses(int Count);
 
+  /// Carries out the next `Count` appends only when `carryOutDelayed()` is
+  /// called, and responds with status 504 at once.
+  void delayAppends(int Count);
+  void carryOutDelayed();
+
   /// Deletes all records of a topic except the newest of each key.
   void compactTopic(const std::string &TopicName);
 
@@ -56,6 +63,8 @@
     std::uint64_t EndOffset = 0;
     std::deque<Record> Records;
     std::map<std::string, Record> Newest;
+    /// Highest epoch seen, by producer.
+    std::map<std::string, std::uint64_t> Epochs;
   };
 
   void serve(Poco::Net::HTTPServerRequest &Request,
@@ -66,6 +75,8 @@
             Poco::Net::HTTPServerResponse &Response);
   void listNewest(const std::map<std::string, std::string> &Query,
                   Poco::Net::HTTPServerResponse &Response);
+  /// Appends the records of a call. Requires `Mutex` to be held.
+  void appendAll(Topic &TopicLog, const std::string &Body);
   /// Requires `Mutex` to be held.
   void appendRecord(Topic &TopicLog, const std::string &Key,
                     const std::string &Value);
@@ -76,6 +87,10 @@
   std::map<std::string, Topic> Topics;
   bool Outage = false;
   int ResponsesToLose = 0;
+  int AppendsToDelay = 0;
+  /// Queries and bodies of delayed appends.
+  std::vector<std::pair<std::map<std::string, std::string>, std::string>>
+      DelayedAppends;
   std::uint64_t CallCount = 0;
   std::unique_ptr<Poco::Net::HTTPServer> Server;
 };
