daemon: read pipelined requests as they come and run them concurrently

Cause: CallerServer read the next request of a connection only after it had written the previous response. Change: a reader and a writer for each connection; RequestPipeline decides which requests may run, in which order responses go out and which closes the connection; HttpDecoder decodes from bytes, with a bound on what stands between chunks. Connections in the accept queue are served in a planned stop, and a connection that ends lingers until its last response has been read.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -129,12 +129,23 @@
   return this->Targets.hasReachableUpstream("");
 }
 
+const proto::MeshRoute *
+CallRouter::findRoute(const HttpRequest &Message) const {
+  return this->Routes
+             ? this->Routes->find(std::string_view(Message[http::field::host]),
+                                  std::string_view(Message.target()))
+             : nullptr;
+}
+
+bool CallRouter::isIdempotent(const HttpRequest &Message) const {
+  const proto::MeshRoute *Route = this->findRoute(Message);
+  return Route != nullptr && Route->idempotent();
+}
+
 bool CallRouter::canRoute(const HttpRequest &Message) const {
   if (!this->Routes)
     return false;
-  const proto::MeshRoute *Route =
-      this->Routes->find(std::string_view(Message[http::field::host]),
-                         std::string_view(Message.target()));
+  const proto::MeshRoute *Route = this->findRoute(Message);
   if (Route == nullptr)
     return true;
   return std::all_of(Route->parts().begin(), Route->parts().end(),
@@ -194,6 +205,11 @@
   if (Call.Route == nullptr)
     return this->Responses.errorResponse(Call, 404,
                                          "no route matches host and path", {});
+  if (!Call.Route->idempotent() && Call.Request->RequestsAhead > 0)
+    return this->Responses.errorResponse(
+        Call, StatusUnavailable,
+        "the route has become non-idempotent since the request was read",
+        DefaultRetryAfter);
   if (Call.RequestId.empty())
     return this->Responses.errorResponse(
         Call, 400,
--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -97,6 +97,8 @@
   LinkTraffic crossDataCentreTraffic() const;
   /// Returns whether an upstream of any service is reachable.
   bool hasReachableUpstream() const;
+  /// Returns whether a request may run more than once, by its route.
+  bool isIdempotent(const HttpRequest &Message) const;
 
 private:
   struct ServiceState;
@@ -107,6 +109,8 @@
   /// Returns whether the request can be handled without waiting: every service
   /// of its route has a reachable upstream, or there is no route for it.
   bool canRoute(const HttpRequest &Message) const;
+  /// Returns the route of a request, or null.
+  const proto::MeshRoute *findRoute(const HttpRequest &Message) const;
   /// Looks up the route and sets deadline, objective, service and versions of
   /// `Call`. Returns an error response if the request cannot be routed.
   std::optional<HttpResponse> prepareCall(RoutedCall &Call);
--- a/persimmonquay/daemon/caller_server.h
+++ b/persimmonquay/daemon/caller_server.h
@@ -1,90 +1,72 @@
-// HTTP/1.1 server for callers, with one coroutine per connection.
+// HTTP/1.1 server for callers, which may pipeline their requests.
 #ifndef PERSIMMONQUAY_DAEMON_CALLER_SERVER_H
 #define PERSIMMONQUAY_DAEMON_CALLER_SERVER_H
 
 #include "persimmonquay/base/time.h"
 #include "persimmonquay/daemon/asio.h"
+#include "persimmonquay/daemon/caller_request.h"
+#include "persimmonquay/daemon/caller_session.h"
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 
 namespace persimmonquay {
 
-/// A complete request whose caller waits for the response. `WakeTimer` is
-/// cancelled when the caller disconnects, so that a handler that waits on it
-/// notices immediately.
-struct CallerRequest {
-  explicit CallerRequest(asio::io_context &Context) : WakeTimer(Context) {}
-
-  HttpRequest Message;
-  /// When the request had been read completely.
-  MonoTime Arrival;
-  bool CallerDisconnected = false;
-  asio::steady_timer WakeTimer;
-};
-
-/// Limits on requests; queried again for each request.
-struct CallerServerLimits {
-  std::uint32_t MaxHeaderBytes = 16384;
-  std::uint64_t MaxBodyBytes = 1048576;
-  Millis HeaderTimeout{3000};
-  Millis IdleTimeout{15000};
-};
-
-/// Accepts connections on one address and responds to the requests of each
-/// connection in order. Informs the handler if the caller closes its connection
-/// while its request is being handled. Confined to one thread.
+/// Accepts connections on one address. Reads the requests of a connection as
+/// they come, handles idempotent ones concurrently (see `RequestPipeline`), and
+/// writes the responses in the order of the requests. Informs the handlers if
+/// the caller closes its connection. Confined to one thread.
 ///
 /// Example:
 ///   auto Server = std::make_shared<CallerServer>(Context, limits, handler);
+///   Server->setIdempotencyCheck(isIdempotent);
 ///   Server->start(std::move(Acceptor));
 class CallerServer : public std::enable_shared_from_this<CallerServer> {
 public:
-  using Handler = std::function<asio::awaitable<HttpResponse>(
-      std::shared_ptr<CallerRequest>)>;
+  using Handler = CallerServerState::Handler;
   using LimitsProvider = std::function<CallerServerLimits()>;
+  using IdempotencyCheck = std::function<bool(const HttpRequest &)>;
 
   CallerServer(asio::io_context &IoContext, LimitsProvider Provider,
                Handler RequestHandler);
 
+  // Commands.
+
+  /// Sets the function that tells whether a request is idempotent. Without it,
+  /// the requests of a connection are handled one after the other.
+  void setIdempotencyCheck(IdempotencyCheck Check) {
+    this->State->IsIdempotent = std::move(Check);
+  }
+
   /// Starts accepting connections. May be called once.
   void start(Tcp::acceptor ListeningSocket);
 
-  /// Sends "Connection: close" with every response from now on, and closes
-  /// connections, including those that are idle already, after an idle time of
-  /// `IdleTimeout`.
+  /// Ends every connection after the requests that are being handled on it, or
+  /// after one more if there is none, and closes idle connections after an idle
+  /// time of `IdleTimeout`.
   void startDraining(Millis IdleTimeout);
 
-  /// Stops accepting connections and closes idle ones.
+  /// Stops accepting connections. Those that callers have opened already are
+  /// still served.
   void stopAccepting();
 
-  /// Closes idle connections immediately. A request that arrives on one of them
-  /// at the same time is not read, so that its caller can safely send it
-  /// elsewhere.
+  /// Closes connections without a request in progress immediately. A request
+  /// that arrives on one of them at the same time is not handled, so that its
+  /// caller can safely send it elsewhere.
   void closeIdleConnections();
 
-  std::size_t connectionCount() const { return this->SessionCount; }
-  std::size_t requestsInFlight() const { return this->RequestCount; }
+  // Queries.
 
-private:
-  class Session;
+  std::size_t connectionCount() const { return this->State->Sessions.size(); }
+  std::size_t requestsInFlight() const { return this->State->RequestCount; }
 
+private:
   asio::awaitable<void> acceptLoop();
-  void wakeIdleSessions();
+  void startSession(Tcp::socket Connection);
 
-  asio::io_context &Context;
-  LimitsProvider GetLimits;
-  Handler HandleRequest;
+  std::shared_ptr<CallerServerState> State;
   std::optional<Tcp::acceptor> Acceptor;
-  std::size_t SessionCount = 0;
-  /// Sessions that wait for their next request.
-  std::set<Session *> IdleSessions;
-  std::size_t RequestCount = 0;
-  /// Idle timeout while draining; none before.
-  std::optional<Millis> DrainIdleTimeout;
   bool AcceptStopped = false;
-  bool ReadStopped = false;
 };
 
 } // namespace persimmonquay
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -76,9 +76,9 @@
 /// read into memory as a whole before its call is routed.
 constexpr double MaxBodyMemoryShare = 1.0 / 16;
 
-Tcp::endpoint orUnset(const absl::StatusOr<Tcp::endpoint> &Parsed) {
-  return Parsed.ok() ? *Parsed : Tcp::endpoint();
-}
+/// Largest amount of pipelined requests and of responses that wait for their
+/// turn, as a share of the process's memory.
+constexpr double MaxPipelineMemoryShare = 1.0 / 8;
 
 } // namespace internal
 
@@ -201,6 +201,9 @@
       [this](std::shared_ptr<CallerRequest> Request) {
         return this->Router.serve(std::move(Request));
       });
+  this->Callers->setIdempotencyCheck([this](const HttpRequest &Message) {
+    return this->Router.isIdempotent(Message);
+  });
   this->Links = std::make_shared<LinkServer>(
       this->Context, this->Gate, [this](std::uint64_t PeerVersion) {
         return this->ConfigSync.updateSince(PeerVersion);
@@ -217,12 +220,14 @@
 
 CallerServerLimits MeshNode::callerLimits() const {
   CallerServerLimits Result;
+  Result.MaxPipelineBytes = static_cast<std::size_t>(
+      this->Settings.memory_mb() * 1048576 * internal::MaxPipelineMemoryShare);
   if (!this->Router.routes())
     return Result;
   const proto::CallerLimits &Limits =
       this->Router.routes()->configuration().limits();
-  Result.MaxHeaderBytes = Limits.max_header_bytes();
-  Result.MaxBodyBytes = std::min<std::uint64_t>(
+  Result.Message.MaxHeaderBytes = Limits.max_header_bytes();
+  Result.Message.MaxBodyBytes = std::min<std::uint64_t>(
       Limits.max_body_bytes(),
       static_cast<std::uint64_t>(this->Settings.memory_mb() * 1048576 *
                                  internal::MaxBodyMemoryShare));
--- a/persimmonquay/daemon/sockets.cc
+++ b/persimmonquay/daemon/sockets.cc
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string>
 #include <sys/socket.h>
 
@@ -60,6 +61,14 @@
   return ConnectionState::Closed;
 }
 
+bool hasPeerClosed(Tcp::socket &Socket) {
+  pollfd Poll{};
+  Poll.fd = Socket.native_handle();
+  Poll.events = POLLRDHUP;
+  constexpr short Closed = POLLRDHUP | POLLHUP | POLLERR | POLLNVAL;
+  return ::poll(&Poll, 1, 0) > 0 && (Poll.revents & Closed) != 0;
+}
+
 absl::StatusOr<Tcp::acceptor> listenOn(asio::io_context &Context,
                                        const Tcp::endpoint &Address) {
   Tcp::acceptor Acceptor(Context);
--- a/persimmonquay/daemon/sockets.h
+++ b/persimmonquay/daemon/sockets.h
@@ -23,6 +23,10 @@
 enum class ConnectionState { Idle, Readable, Closed };
 ConnectionState peekConnection(Tcp::socket &Socket);
 
+/// Returns whether the peer has closed its side of a connection, even if bytes
+/// that it sent before are still unread.
+bool hasPeerClosed(Tcp::socket &Socket);
+
 /// Opens a listening socket. Returns Unavailable if the address cannot be used.
 absl::StatusOr<Tcp::acceptor> listenOn(asio::io_context &Context,
                                        const Tcp::endpoint &Address);
