--- a/persimmonquay/daemon/caller_session_test.cc
+++ b/persimmonquay/daemon/caller_session_test.cc
@@ -327,8 +327,9 @@
       "POST /big HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n";
   const std::string LongHeader = requestFor(
       "/long", "", absl::StrCat("A: ", std::string(20000, 'a'), "\r\n"));
-  for (const auto &[Bytes, Status] : std::map<std::string, unsigned>{
+  for (const auto &[Bytes, ExpectedStatus] : std::map<std::string, unsigned>{
            {"nonsense\r\n\r\n", 400}, {Oversized, 413}, {LongHeader, 431}}) {
+    const unsigned Status = ExpectedStatus;
     CAPTURE(Status);
     PipelineFixture Fixture;
     Fixture.send(requestFor("/a") + Bytes + requestFor("/after"));
--- a/persimmonquay/node/node_test.cc
+++ b/persimmonquay/node/node_test.cc
@@ -63,9 +63,9 @@
   HttpServer Server;
 };
 
-// Guards against taking a crashed upstream for a live one. The kernel closed its
-// connections first, and its listening socket still completed the connection
-// with which the node checked whether the process was alive.
+// Guards against taking a crashed upstream for a live one. The kernel closed
+// its connections first, and its listening socket still completed the
+// connection with which the node checked whether the process was alive.
 TEST_CASE("a listening socket that is closed right away does not count as a "
           "live process") {
   Poco::Net::ServerSocket Listener(Poco::Net::SocketAddress(Address, 0));
