traffic: place calls by expected loss, and keep queues short under overload

Cause: a call left its data centre only when a wait was longer than it could spare, by an estimate over all upstreams. Change: CallPlacement, a pure core taken out of CallRouter, compares expected losses: the probability of being late at each upstream, its failures, and what the transfer is worth by its bytes. A queue that has been busy for 500 ms admits calls for half of the time that they can spare. Both are replayed in simulated time by a new model of a mesh (testing/model), with simpler rules beside them. Tests: rankUpstreams no longer knows data centres; its three cases about them are now cases of CallPlacement, with the same outcomes and more: the one that preferred the local data centre even if others are faster now also says when it must not.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -18,20 +18,6 @@
 namespace persimmonquay {
 namespace internal {
 
-/// Maximum number of offers to upstreams of the local data centre before the
-/// call joins the shortest known queue. If a tenth of the upstreams are full,
-/// three offers all meet full upstreams for one call in a thousand.
-constexpr std::size_t MaxLocalOffers = 3;
-
-/// Maximum number of offers to upstreams of other data centres; each costs a
-/// transfer between data centres.
-constexpr std::size_t MaxRemoteOffers = 2;
-
-/// The longest wait allowed at the upstreams that a call is offered to first is
-/// the mean processing time divided by this; after that, other upstreams are
-/// tried.
-constexpr int FirstOfferWaitDivisor = 4;
-
 /// Time for which no call to a service is offered to a data centre that has
 /// just rejected one for the same service.
 constexpr Millis RemoteBusyBackoff{100};
@@ -65,6 +51,13 @@
 /// Interval at which a held call checks whether it can be routed.
 constexpr Millis StartupCheckInterval{10};
 
+/// Size of the frames of a call and its reply without their bodies.
+constexpr std::size_t FrameOverheadBytes = 700;
+
+/// Weight of one response in the moving average of the sizes of a route's
+/// responses.
+constexpr double ResponseBytesWeight = 0.05;
+
 /// Timeout that is assumed for a caller that states none.
 constexpr Millis DefaultCallerTimeout{1000};
 
@@ -277,80 +270,39 @@
     Call.Versions = this->Dependencies.Rollouts.baselineVersions(Call.Service);
     Available = this->Targets.candidates(Call);
   }
-  // If the local data centre has no upstream of the service, those of other
-  // data centres are treated as local: waiting for a local upstream is no
-  // alternative that could save the transfer.
-  Call.NoLocalUpstream =
-      std::none_of(Available.begin(), Available.end(),
-                   [](const std::shared_ptr<RouteTarget> &Target) {
-                     return Target->View.isLocal();
-                   });
-  std::erase_if(Available, [&Call](const std::shared_ptr<RouteTarget> &Target) {
-    return Call.BusyNodes.contains(Target->Entry.node());
-  });
-  std::vector<const UpstreamView *> Views;
-  std::vector<double> Tiebreakers;
-  for (const std::shared_ptr<RouteTarget> &Target : Available) {
-    Views.push_back(&Target->View);
-    Tiebreakers.push_back(this->random());
-  }
-  const std::vector<Candidate> RankedCandidates =
-      rankUpstreams(Views, Tiebreakers, Now);
-  const Micros Slack =
-      std::chrono::duration_cast<Micros>(Call.Objective - Now) -
-      Call.UpperProcessingTime;
-  ServiceState &State = this->serviceState(Call.Service);
-  for (const Candidate &Next : RankedCandidates) {
-    const std::shared_ptr<RouteTarget> &Target = Available[Next.Index];
-    if (Next.Local || Call.NoLocalUpstream) {
-      if (Call.LocalOffers >= internal::MaxLocalOffers)
-        continue;
-      // An offer to another data centre costs a transfer, so the call may wait
-      // there for as long as it still meets its objective.
-      const Micros FirstOfferWait =
-          Call.MeanProcessingTime / internal::FirstOfferWaitDivisor;
-      *MaxWait = Next.Local ? FirstOfferWait : std::max(FirstOfferWait, Slack);
-      return Target;
-    }
-    if (Call.RemoteOffers >= internal::MaxRemoteOffers ||
-        Now < State.RemoteBusyUntil[Target->Entry.data_centre()])
-      continue;
-    // A transfer to another data centre pays off only if the local queues would
-    // make the call miss its objective.
-    Micros ShortestBusyWait = Micros::max();
-    for (const auto &[Node, Wait] : Call.BusyNodes)
-      ShortestBusyWait = std::min(ShortestBusyWait, Wait);
-    if (!Call.BusyNodes.empty() && ShortestBusyWait <= Slack &&
-        !Call.JoinedQueue)
-      break;
-    if (Next.Wait > Slack && !Call.BusyNodes.empty())
-      continue;
-    *MaxWait = std::max(Slack, Micros{0});
-    return Target;
-  }
-  return this->shortestKnownQueue(Call, MaxWait);
+  std::vector<PlacementTarget> PlacementTargets;
+  PlacementTargets.reserve(Available.size());
+  for (const std::shared_ptr<RouteTarget> &Target : Available)
+    PlacementTargets.push_back(
+        {Target->Entry.node(), Target->Entry.data_centre(), Target->View});
+  const ServiceState &State = this->serviceState(Call.Service);
+  const std::optional<PlacementOffer> Offer = Call.Placement.nextOffer(
+      this->placementGoal(Call), PlacementTargets,
+      [&State, Now](const std::string &DataCentre) {
+        const auto Found = State.RemoteBusyUntil.find(DataCentre);
+        return Found != State.RemoteBusyUntil.end() && Now < Found->second;
+      },
+      [this] { return this->random(); }, Now);
+  if (!Offer)
+    return nullptr;
+  *MaxWait = Offer->MaxWait;
+  return Available[Offer->Index];
 }
 
-std::shared_ptr<RouteTarget> CallRouter::shortestKnownQueue(RoutedCall &Call,
-                                                            Micros *MaxWait) {
-  if (Call.JoinedQueue)
-    return nullptr;
-  Call.JoinedQueue = true;
-  std::shared_ptr<RouteTarget> Best;
-  Micros ShortestWait = Micros::max();
-  for (const std::shared_ptr<RouteTarget> &Target :
-       this->Targets.candidates(Call)) {
-    const auto Found = Call.BusyNodes.find(Target->Entry.node());
-    if (Found == Call.BusyNodes.end() || Found->second >= ShortestWait)
-      continue;
-    Best = Target;
-    ShortestWait = Found->second;
-  }
-  // The gate at the upstream decides whether the call can still be served in
-  // time.
-  *MaxWait = std::max(
-      std::chrono::duration_cast<Micros>(Call.Deadline - monoNow()), Micros{0});
-  return Best;
+PlacementGoal CallRouter::placementGoal(const RoutedCall &Call) const {
+  PlacementGoal Goal;
+  Goal.Objective = Call.Objective;
+  Goal.Deadline = Call.Deadline;
+  Goal.MeanProcessingTime = Call.MeanProcessingTime;
+  Goal.ProcessingTimeDeviation =
+      Call.UpperProcessingTime - Call.MeanProcessingTime;
+  const auto ResponseBytes = this->ResponseBytes.find(Call.Route->name());
+  Goal.TransferBytes = internal::FrameOverheadBytes +
+                       Call.Request->Message.body().size() +
+                       (ResponseBytes == this->ResponseBytes.end()
+                            ? 0
+                            : static_cast<std::size_t>(ResponseBytes->second));
+  return Goal;
 }
 
 proto::CallRequest CallRouter::admissionCheckRequest(const RoutedCall &Call,
@@ -492,11 +444,10 @@
     Call.Arrivals += 1 + Reply.resent();
     const bool Failed =
         Reply.outcome() != proto::ANSWERED || Reply.status() >= 500;
-    Target.View.recordResult(Failed, Micros(Reply.work_us()), Now);
+    Target.View.recordResult(Failed, Micros(Reply.work_us()), Now,
+                             Call.MeanProcessingTime);
     if (!Failed)
-      this->ProcessingTimes
-          .try_emplace(Call.Route->name(), Micros(Reply.work_us()))
-          .first->second.add(Micros(Reply.work_us()));
+      this->recordSuccess(Call, Reply);
   }
   switch (Reply.outcome()) {
   case proto::ANSWERED:
@@ -522,15 +473,23 @@
     Call.ExcludedNodes.insert(Node);
     return;
   }
-  Call.BusyNodes[Node] = Micros(Reply.load().wait_us());
-  if (Target.View.isLocal() || Call.NoLocalUpstream) {
-    ++Call.LocalOffers;
-  } else {
-    ++Call.RemoteOffers;
+  Call.Placement.recordBusy(
+      {Target.Entry.node(), Target.Entry.data_centre(), Target.View},
+      Micros(Reply.load().wait_us()));
+  if (!Target.View.isLocal())
     this->serviceState(Call.Service)
         .RemoteBusyUntil[Target.Entry.data_centre()] =
         Now + internal::RemoteBusyBackoff;
-  }
+}
+
+void CallRouter::recordSuccess(const RoutedCall &Call,
+                               const proto::CallReply &Reply) {
+  const std::string &Route = Call.Route->name();
+  this->ProcessingTimes.try_emplace(Route, Micros(Reply.work_us()))
+      .first->second.add(Micros(Reply.work_us()));
+  const auto Bytes = static_cast<double>(Reply.body().size());
+  double &Mean = this->ResponseBytes.try_emplace(Route, Bytes).first->second;
+  Mean += internal::ResponseBytesWeight * (Bytes - Mean);
 }
 
 bool CallRouter::mayRetry(RoutedCall &Call, const proto::CallReply &Reply) {
@@ -557,8 +516,7 @@
            {"arrivals", std::to_string(Call.Arrivals)}});
   if (!IsAllowed)
     return false;
-  // The retry may join the queue of a busy upstream again.
-  Call.JoinedQueue = false;
+  Call.Placement.allowQueueing();
   return true;
 }
 
--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -9,6 +9,7 @@
 #include "persimmonquay/daemon/target_table.h"
 #include "persimmonquay/mesh/route_table.h"
 #include "persimmonquay/mesh/traffic_split.h"
+#include "persimmonquay/traffic/call_placement.h"
 #include "persimmonquay/traffic/processing_time_estimate.h"
 #include "persimmonquay/traffic/retry_budget.h"
 #include "proto/link.pb.h"
@@ -130,10 +131,7 @@
   /// Returns the upstream to offer the call to next, or null, and sets the
   /// longest time that the call may wait there.
   std::shared_ptr<RouteTarget> nextTarget(RoutedCall &Call, Micros *MaxWait);
-  /// Returns the busy upstream with the shortest reported wait, or null if
-  /// there is none or the call has joined such a queue already.
-  std::shared_ptr<RouteTarget> shortestKnownQueue(RoutedCall &Call,
-                                                  Micros *MaxWait);
+  PlacementGoal placementGoal(const RoutedCall &Call) const;
   /// Returns a request that only asks whether the call would be admitted; it
   /// carries neither headers nor body.
   proto::CallRequest admissionCheckRequest(const RoutedCall &Call,
@@ -149,6 +147,8 @@
   /// and in the metrics.
   void recordReply(RoutedCall &Call, RouteTarget &Target,
                    const proto::CallReply &Reply);
+  /// Updates the estimates of processing times and response sizes.
+  void recordSuccess(const RoutedCall &Call, const proto::CallReply &Reply);
   /// Returns the state of a service; creates it on first use.
   ServiceState &serviceState(const std::string &Service);
   /// Returns a random number in [0, 1).
@@ -164,6 +164,8 @@
   std::map<std::string, std::unique_ptr<ServiceState>> ServiceStates;
   /// Processing time at the upstreams, by route.
   std::map<std::string, ProcessingTimeEstimate> ProcessingTimes;
+  /// Mean size of response bodies, by route.
+  std::map<std::string, double> ResponseBytes;
   /// Longest caller timeout seen, by route.
   std::map<std::string, Millis> MaxCallerTimeouts;
 };
--- a/persimmonquay/daemon/caller_responses.cc
+++ b/persimmonquay/daemon/caller_responses.cc
@@ -57,7 +57,7 @@
            {"instance", Target.Entry.upstream().instance()},
            {"status", std::to_string(Reply.status())},
            {"arrivals", std::to_string(Call.Arrivals)},
-           {"busy_nodes", std::to_string(Call.BusyNodes.size())},
+           {"busy_nodes", std::to_string(Call.Placement.busyCount())},
            {"requests_ahead", std::to_string(Call.Request->RequestsAhead)},
            {"late", Now < Call.Objective ? "no" : "yes"},
            {"taken_ms", std::to_string(std::chrono::duration_cast<Millis>(
--- a/persimmonquay/daemon/routed_call.h
+++ b/persimmonquay/daemon/routed_call.h
@@ -7,9 +7,9 @@
 #include "persimmonquay/daemon/metrics.h"
 #include "persimmonquay/mesh/route_table.h"
 #include "persimmonquay/rollout/rollout_table.h"
+#include "persimmonquay/traffic/call_placement.h"
 #include "proto/link.pb.h"
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -37,21 +37,9 @@
   Micros MeanProcessingTime{0};
   /// Processing time that most calls of the route do not exceed.
   Micros UpperProcessingTime{0};
-  /// Nodes that rejected the call because of their load, with the wait that
-  /// they reported.
-  std::map<std::string, Micros> BusyNodes;
   /// Nodes to which the call must not be offered again.
   std::set<std::string> ExcludedNodes;
-  /// Offers that were rejected because of load, within the local data centre
-  /// and to other data centres.
-  std::size_t LocalOffers = 0;
-  std::size_t RemoteOffers = 0;
-  /// Whether the call has been offered to the upstream with the shortest known
-  /// queue.
-  bool JoinedQueue = false;
-  /// Whether the local data centre has no upstream for the call; others are
-  /// then treated as local.
-  bool NoLocalUpstream = false;
+  CallPlacement Placement;
   /// Number of times that the call ran, or may have run, at an upstream.
   std::uint32_t RunCount = 0;
   /// Number of times that the call was delivered to an upstream.
--- a/persimmonquay/traffic/admission_queue.cc
+++ b/persimmonquay/traffic/admission_queue.cc
@@ -14,6 +14,17 @@
 /// rejection. Half of the time to the deadline stands in for the objective.
 constexpr int LateWaitDivisor = 8;
 
+/// Under sustained load, a call may wait for at most the time that it can spare
+/// until its latency objective divided by this. A longer queue doesn't serve
+/// more calls then, since the slots are in use anyway, but an error of the
+/// prediction makes many calls late.
+constexpr int SustainedSlackDivisor = 2;
+
+/// Load is sustained if calls have been waiting for this long without a break.
+/// A shorter burst is worth a queue that takes up all the time that calls can
+/// spare, since the slots become free after it.
+constexpr Millis SustainedLoadTime{500};
+
 /// A call is short if its processing time is at most the mean of the other
 /// calls' divided by this: it delays another call by less than the spread of
 /// their processing times.
@@ -140,8 +151,10 @@
                            MonoTime Now) const {
   if (Now + Wait + Call.ProcessingTime > Call.Deadline)
     return "the wait would outlast the deadline";
-  if (Now + Wait + Call.UpperProcessingTime <= Call.Objective ||
-      Wait == Micros{0} || this->isShort(Call))
+  const auto Slack = std::chrono::duration_cast<Micros>(Call.Objective - Now) -
+                     Call.UpperProcessingTime;
+  if (Wait <= Slack / this->slackDivisor(Now) || Wait == Micros{0} ||
+      this->isShort(Call))
     return std::nullopt;
   // The call will be late in any case, so that only a short wait is worthwhile.
   const Micros MaxLateWait =
@@ -153,15 +166,25 @@
   return std::nullopt;
 }
 
+int AdmissionQueue::slackDivisor(MonoTime Now) const {
+  return !this->Waiting.empty() &&
+                 Now - this->WaitingSince >= internal::SustainedLoadTime
+             ? internal::SustainedSlackDivisor
+             : 1;
+}
+
 Micros AdmissionQueue::retryDelay(const QueuedCall &Call, Micros Wait,
                                   MonoTime Now) const {
-  // A call that is retried after this delay finds the queue drained far enough
-  // to finish on time, if no other calls arrive.
-  const Micros Slack =
-      std::chrono::duration_cast<Micros>(Call.Objective - Now) -
-      Call.UpperProcessingTime;
-  return std::max(internal::MinRetryAfter,
-                  Wait - std::max(Slack / 2, Micros{0}));
+  // After this delay, the queue has drained far enough for the call, if no
+  // other calls arrive. The call can spare less time then.
+  const auto Slack =
+      std::max(std::chrono::duration_cast<Micros>(Call.Objective - Now) -
+                   Call.UpperProcessingTime,
+               Micros{0});
+  const int Divisor = this->slackDivisor(Now);
+  const Micros Delay = Divisor == 1 ? Wait - Slack / 2
+                                    : (Wait * Divisor - Slack) / (Divisor - 1);
+  return std::max(internal::MinRetryAfter, std::min(Delay, Wait));
 }
 
 std::optional<RejectedCall> AdmissionQueue::whyRejected(const QueuedCall &Call,
@@ -198,6 +221,8 @@
     return Result;
   }
   const Micros Wait = this->predictedWait(Call, Now);
+  if (this->Waiting.empty())
+    this->WaitingSince = Now;
   this->Waiting.push_back(
       {Call, Now, this->NextSequence++, internal::nextCheck(Call, Wait, Now)});
   Result.Verdict = AdmissionVerdict::Wait;
--- a/persimmonquay/traffic/admission_queue.h
+++ b/persimmonquay/traffic/admission_queue.h
@@ -4,7 +4,9 @@
 // Handles these load patterns:
 //  - A burst or lost capacity, so that more calls arrive than the upstream can
 //    serve in time. Calls that can't finish in time are rejected on arrival,
-//    not when their deadline expires.
+//    not when their deadline expires. Under sustained load the queue is kept
+//    short, so that few of the served calls end late; a short burst may fill
+//    it.
 //  - Calls of different priority on one service. The more important call goes
 //    first and is never displaced by a less important one.
 //  - Short calls among long ones, such as the nested calls that upstreams make
@@ -167,6 +169,9 @@
   /// none if it should.
   std::optional<std::string_view> whyTooLate(const QueuedCall &Call,
                                              Micros Wait, MonoTime Now) const;
+  /// Returns by what the time that a call can spare is divided to get the
+  /// longest wait that it is admitted for.
+  int slackDivisor(MonoTime Now) const;
   /// Returns the `RetryAfter` of a rejected call whose predicted wait is
   /// `Wait`.
   Micros retryDelay(const QueuedCall &Call, Micros Wait, MonoTime Now) const;
@@ -174,6 +179,8 @@
   std::size_t Slots;
   std::vector<RunningCall> Running;
   std::vector<WaitingCall> Waiting;
+  /// Since when calls have been waiting without a break; valid if any wait.
+  MonoTime WaitingSince;
   std::uint64_t NextSequence = 0;
 };
 
--- a/persimmonquay/traffic/placement.cc
+++ b/persimmonquay/traffic/placement.cc
@@ -18,15 +18,6 @@
 /// get calls again, which show whether it has recovered.
 constexpr std::chrono::duration<double> FailureHalfLife{2.0};
 
-/// Failure rate from which a local upstream loses its preference: most callers
-/// would then need a second attempt, which the retry budget doesn't cover.
-constexpr double MaxPreferredFailureRate = 0.25;
-
-/// Time that a call to another data centre must save: traffic between data
-/// centres is expensive, and it gains nothing if upstreams fail alike
-/// everywhere.
-constexpr std::chrono::microseconds CrossDataCentrePenalty{150000};
-
 /// Age from which a load report is ignored.
 constexpr Millis MaxReportAge{1000};
 
@@ -37,6 +28,11 @@
 /// Processing time that is assumed while no upstream has served a call.
 constexpr std::chrono::microseconds AssumedProcessingTime{100000};
 
+/// Number of calls over which the slowness is effectively averaged: enough that
+/// the spread of single calls doesn't matter, few enough to follow a change of
+/// speed within seconds.
+constexpr int MaxSlownessSamples = 20;
+
 /// Range of the random tiebreak, as a fraction of an upstream's cost.
 constexpr double TiebreakFactor = 0.1;
 
@@ -54,13 +50,22 @@
 
 void UpstreamView::recordResult(bool Failed,
                                 std::chrono::microseconds CallProcessingTime,
-                                MonoTime Now) {
+                                MonoTime Now,
+                                std::chrono::microseconds TypicalTime) {
   const double PreviousRate = this->failureRate(Now);
   this->FailureRate = PreviousRate + internal::FailureWeight *
                                          ((Failed ? 1.0 : 0.0) - PreviousRate);
   this->LastResultAt = Now;
-  if (!Failed)
-    this->ProcessingTime.add(CallProcessingTime);
+  if (Failed)
+    return;
+  this->ProcessingTime.add(CallProcessingTime);
+  if (TypicalTime.count() <= 0)
+    return;
+  const double Ratio = std::chrono::duration<double>(CallProcessingTime) /
+                       std::chrono::duration<double>(TypicalTime);
+  this->SlownessSamples =
+      std::min(this->SlownessSamples + 1, internal::MaxSlownessSamples);
+  this->Slowness += (Ratio - this->Slowness) / this->SlownessSamples;
 }
 
 double UpstreamView::failureRate(MonoTime Now) const {
@@ -133,18 +138,11 @@
     const auto TiebreakCost =
         std::chrono::duration_cast<std::chrono::microseconds>(
             Cost * (internal::TiebreakFactor * Tiebreak[I]));
-    const bool Local = Views[I]->isLocal();
-    const bool Preferred =
-        Local && Views[I]->failureRate(Now) < internal::MaxPreferredFailureRate;
-    const std::chrono::microseconds CrossingPenalty =
-        Local ? std::chrono::microseconds{0} : internal::CrossDataCentrePenalty;
-    Result.push_back({I, Local, Preferred, Views[I]->expectedWait(Now),
-                      Cost + TiebreakCost + CrossingPenalty});
+    Result.push_back({I, Views[I]->isLocal(), Views[I]->expectedWait(Now),
+                      Cost + TiebreakCost});
   }
   std::sort(Result.begin(), Result.end(),
             [](const Candidate &Left, const Candidate &Right) {
-              if (Left.Preferred != Right.Preferred)
-                return Left.Preferred;
               return Left.Cost < Right.Cost;
             });
   return Result;
--- a/persimmonquay/traffic/placement.h
+++ b/persimmonquay/traffic/placement.h
@@ -4,12 +4,10 @@
 //  - Upstreams of different speed and load: the lowest expected time to a
 //    response wins, not round robin.
 //  - Upstreams that fail some of their calls while they look healthy: failures
-//    add to the expected time, and an upstream that fails many calls loses the
-//    preference for the local data centre.
-//  - A data centre whose own upstreams are full: calls go to another data
-//    centre only if they would miss their latency objective otherwise, and not
-//    to data centres that have just reported that they are full too.
-//  - Upstreams that were just added or can't be reached.
+//    add to the expected time.
+//  - Upstreams that were just added.
+//
+// `CallPlacement` decides between data centres.
 #ifndef PERSIMMONQUAY_TRAFFIC_PLACEMENT_H
 #define PERSIMMONQUAY_TRAFFIC_PLACEMENT_H
 
@@ -41,9 +39,11 @@
                   std::uint32_t SlotCount, std::chrono::microseconds Wait,
                   MonoTime Now);
   /// Records the result of a call that reached the upstream.
-  /// `CallProcessingTime` is ignored if the call failed.
-  void recordResult(bool Failed, std::chrono::microseconds CallProcessingTime,
-                    MonoTime Now);
+  /// `CallProcessingTime` is ignored if the call failed. `TypicalTime` is the
+  /// mean processing time of such calls over all upstreams, or 0 if unknown.
+  void recordResult(
+      bool Failed, std::chrono::microseconds CallProcessingTime, MonoTime Now,
+      std::chrono::microseconds TypicalTime = std::chrono::microseconds{0});
   /// Records the fraction of all nodes' calls that failed at the upstream.
   void recordFleetFailureRate(double Rate, MonoTime Now) {
     this->FleetFailureRate = Rate;
@@ -62,6 +62,13 @@
   /// succeeded there yet.
   std::optional<std::chrono::microseconds> measuredProcessingTime() const;
 
+  /// Returns the processing time of calls there compared with the same calls at
+  /// other upstreams: above 1 if this one is slower. None if unknown.
+  std::optional<double> slowness() const {
+    return this->SlownessSamples > 0 ? std::optional(this->Slowness)
+                                     : std::nullopt;
+  }
+
   /// Returns the expected time to a successful response, by which upstreams
   /// are compared; failures add to it. `DefaultProcessingTime` is used if no
   /// call has succeeded there yet.
@@ -82,6 +89,9 @@
   std::chrono::microseconds ReportedWait{0};
   MonoTime ReportedAt;
   ProcessingTimeEstimate ProcessingTime{std::chrono::milliseconds(100)};
+  /// Moving average over the latest calls.
+  double Slowness = 1;
+  int SlownessSamples = 0;
   /// As of `LastResultAt`, from this node's calls.
   double FailureRate = 0;
   /// As of `FleetRateAt`, from all nodes' calls.
@@ -96,18 +106,15 @@
   std::size_t Index = 0;
   /// Whether the upstream is in this node's data centre.
   bool Local = true;
-  /// Whether the upstream is local and doesn't fail many calls.
-  bool Preferred = true;
   std::chrono::microseconds Wait{0};
   std::chrono::microseconds Cost{0};
 };
 
-/// Returns a candidate for each view, best first: upstreams of this node's data
-/// centre that don't fail many calls, then the others. An upstream that has
-/// served no call yet is assumed to be as fast as the fastest one, so that a
-/// new upstream gets calls at once. `Tiebreak` holds a random number from 0 to
-/// 1 for each view, which varies the order of similar upstreams so that nodes
-/// don't all choose the same one.
+/// Returns a candidate for each view, the one with the lowest cost first. An
+/// upstream that has served no call yet is assumed to be as fast as the fastest
+/// one, so that a new upstream gets calls at once. `Tiebreak` holds a random
+/// number from 0 to 1 for each view, which varies the order of similar
+/// upstreams so that nodes don't all choose the same one.
 std::vector<Candidate> rankUpstreams(const std::vector<const UpstreamView *> &,
                                      const std::vector<double> &Tiebreak,
                                      MonoTime Now);
--- a/persimmonquay/traffic/traffic_test.cc
+++ b/persimmonquay/traffic/traffic_test.cc
@@ -1,4 +1,5 @@
 #include "persimmonquay/traffic/admission_queue.h"
+#include "persimmonquay/traffic/call_placement.h"
 #include "persimmonquay/traffic/placement.h"
 #include "persimmonquay/traffic/retry_budget.h"
 #include <cmath>
@@ -75,6 +76,41 @@
   CHECK(Waiting == 3);
 }
 
+TEST_CASE("the queue is kept short under sustained load") {
+  AdmissionQueue Queue(1);
+  const MonoTime Start = monoNow();
+  std::uint64_t Id = 1;
+  // A call of 100 ms arrives every 50 ms.
+  std::size_t MostWaitingAtFirst = 0;
+  std::size_t MostWaitingLater = 0;
+  MonoTime NextEnd = Start;
+  for (MonoTime Now = Start; Now < Start + Millis(3000); Now += Millis(50)) {
+    if (Now >= NextEnd && Queue.running() > 0) {
+      Queue.finish(Id);
+      if (const auto Next = Queue.startNext(Now)) {
+        Id = *Next;
+        NextEnd = Now + Millis(100);
+      }
+    }
+    const std::uint64_t NewId =
+        1000 + static_cast<std::uint64_t>((Now - Start).count());
+    if (Queue
+            .offer(callOf(NewId, Now, Millis(700), Millis(2000), Millis(100)),
+                   NoLimit, Now)
+            .Verdict == AdmissionVerdict::Start) {
+      Id = NewId;
+      NextEnd = Now + Millis(100);
+    }
+    std::size_t &Most =
+        Now < Start + Millis(600) ? MostWaitingAtFirst : MostWaitingLater;
+    Most = std::max(Most, Queue.waiting());
+  }
+  // A call can spare 600 ms; half of that are three calls.
+  CHECK(MostWaitingAtFirst >= 5);
+  CHECK(MostWaitingLater <= 5);
+  CHECK(Queue.waiting() <= 4);
+}
+
 TEST_CASE("a more important call starts first; a less important one expires") {
   AdmissionQueue Queue(1);
   const MonoTime Now = monoNow();
@@ -334,48 +370,120 @@
   CHECK(Failing.failureRate(Now + std::chrono::seconds(10)) < 0.05);
 }
 
+/// An upstream of the local data centre and one of another, and the choice
+/// between them for a call that takes about 100 ms and must end within 400 ms.
+struct TwoDataCentres {
+  /// Records results of both upstreams; one in `FailEvery` calls fails, or none
+  /// if it is 0.
+  void record(UpstreamView &View, Millis ProcessingTime, int FailEvery,
+              int Calls = 40) {
+    for (int Call = 0; Call < Calls; ++Call)
+      View.recordResult(FailEvery > 0 && Call % FailEvery == 0, ProcessingTime,
+                        this->Now, Millis(100));
+  }
+
+  std::optional<PlacementOffer> offer(CallPlacement &Placement,
+                                      std::size_t TransferBytes = 3000) const {
+    PlacementGoal Goal;
+    Goal.Objective = this->Now + Millis(400);
+    Goal.Deadline = this->Now + Millis(1500);
+    Goal.MeanProcessingTime = Millis(100);
+    Goal.ProcessingTimeDeviation = Millis(30);
+    Goal.TransferBytes = TransferBytes;
+    return Placement.nextOffer(
+        Goal,
+        {{this->HereName, this->HereName, this->Here},
+         {this->ThereName, this->ThereName, this->There}},
+        [this](const std::string &) { return this->IsThereBusy; },
+        [] { return 0.5; }, this->Now);
+  }
+
+  /// Returns whether a new call stays in the local data centre.
+  bool stays(std::size_t TransferBytes = 3000) const {
+    CallPlacement Placement;
+    const auto Offer = this->offer(Placement, TransferBytes);
+    REQUIRE(Offer);
+    return Offer->Index == 0;
+  }
+
+  MonoTime Now = monoNow();
+  UpstreamView Here{true, 9};
+  UpstreamView There{false, 9};
+  bool IsThereBusy = false;
+  std::string HereName = "here";
+  std::string ThereName = "there";
+};
+
 // Guards against preferring a failing upstream because it is local. In an
 // incident, the only upstream of its data centre failed half of its calls and
 // still got a fifth of the service's calls for ten seconds.
 TEST_CASE("an upstream that fails many calls loses its local preference") {
-  const MonoTime Now = monoNow();
-  UpstreamView Here(true, 9);
-  UpstreamView There(false, 9);
-  for (int Call = 0; Call < 40; ++Call) {
-    Here.recordResult(Call % 2 == 0, Millis(100), Now);
-    There.recordResult(false, Millis(100), Now);
-  }
-  CHECK(rankUpstreams({&Here, &There}, {0, 0}, Now)[0].Index == 1);
+  TwoDataCentres Setup;
+  Setup.record(Setup.Here, Millis(100), 2);
+  Setup.record(Setup.There, Millis(100), 0);
+  CHECK_FALSE(Setup.stays());
   // The failure rate decays, so that the upstream gets calls again.
-  const MonoTime Later = Now + Millis(4000);
-  CHECK(rankUpstreams({&Here, &There}, {0, 0}, Later)[0].Index == 0);
+  Setup.Now += Millis(8000);
+  CHECK(Setup.stays());
   // The rate reported by the upstream's own node decays as well.
-  Here.recordFleetFailureRate(0.5, Later);
-  CHECK(rankUpstreams({&Here, &There}, {0, 0}, Later)[0].Index == 1);
-  CHECK(rankUpstreams({&Here, &There}, {0, 0}, Later + Millis(4000))[0].Index ==
-        0);
+  Setup.Here.recordFleetFailureRate(0.5, Setup.Now);
+  CHECK_FALSE(Setup.stays());
+  Setup.Now += Millis(8000);
+  CHECK(Setup.stays());
 }
 
 TEST_CASE("if all upstreams fail alike, calls stay in the local data centre") {
-  const MonoTime Now = monoNow();
-  UpstreamView Here(true, 9);
-  UpstreamView There(false, 9);
-  for (int Call = 0; Call < 40; ++Call) {
-    Here.recordResult(Call % 2 == 0, Millis(100), Now);
-    There.recordResult(Call % 2 == 0, Millis(100), Now);
-  }
-  CHECK(rankUpstreams({&There, &Here}, {0, 0}, Now)[0].Index == 1);
+  TwoDataCentres Setup;
+  Setup.record(Setup.Here, Millis(100), 2);
+  Setup.record(Setup.There, Millis(100), 2);
+  CHECK(Setup.stays());
 }
 
-TEST_CASE("the local data centre is preferred even if others are faster") {
-  const MonoTime Now = monoNow();
-  UpstreamView Here(true, 9);
-  UpstreamView There(false, 9);
-  for (int Call = 0; Call < 30; ++Call) {
-    Here.recordResult(false, Millis(300), Now);
-    There.recordResult(false, Millis(50), Now);
-  }
-  CHECK(rankUpstreams({&There, &Here}, {0, 0}, Now)[0].Index == 1);
+TEST_CASE("a faster data centre gets calls only if they would be late here") {
+  TwoDataCentres Setup;
+  Setup.record(Setup.Here, Millis(200), 0);
+  Setup.record(Setup.There, Millis(50), 0);
+  CHECK(Setup.stays());
+  Setup.record(Setup.Here, Millis(350), 0);
+  CHECK_FALSE(Setup.stays());
+  // What a large call transfers counts more than its being late.
+  CHECK(Setup.stays(20000));
+}
+
+TEST_CASE("a call leaves a full data centre unless the other one is full too") {
+  TwoDataCentres Setup;
+  Setup.record(Setup.Here, Millis(100), 0);
+  Setup.record(Setup.There, Millis(100), 0);
+  CallPlacement Placement;
+  const PlacementTarget Here{Setup.HereName, Setup.HereName, Setup.Here};
+  const PlacementTarget There{Setup.ThereName, Setup.ThereName, Setup.There};
+  CHECK(Setup.offer(Placement)->Index == 0);
+  Placement.recordBusy(Here, Millis(300));
+  const std::optional<PlacementOffer> Second = Setup.offer(Placement);
+  CHECK(Second->Index == 1);
+  CHECK(Second->MaxWait < Millis(300));
+  Placement.recordBusy(There, Millis(300));
+  // Then it waits for the shortest queue, once.
+  const std::optional<PlacementOffer> Third = Setup.offer(Placement);
+  CHECK(Third->MaxWait > Millis(1000));
+  Placement.recordBusy(Here, Millis(300));
+  CHECK_FALSE(Setup.offer(Placement).has_value());
+  CHECK(Placement.busyCount() == 2);
+
+  Setup.IsThereBusy = true;
+  CallPlacement Other;
+  Other.recordBusy(Here, Millis(100));
+  CHECK(Setup.offer(Other)->Index == 0);
+}
+
+TEST_CASE("with a short local queue, a call waits rather than crosses") {
+  TwoDataCentres Setup;
+  Setup.record(Setup.Here, Millis(100), 0);
+  Setup.record(Setup.There, Millis(100), 0);
+  CallPlacement Placement;
+  Placement.recordBusy({Setup.HereName, Setup.HereName, Setup.Here},
+                       Millis(60));
+  CHECK(Setup.offer(Placement)->Index == 0);
 }
 
 TEST_CASE("the expected wait shrinks as the report gets older") {
--- /dev/null
+++ b/testing/model/mesh_model_test.cc
@@ -0,0 +1,172 @@
+// Replays load patterns against the decisions on placement and admission, and
+// compares them with simpler rules.
+#include "testing/model/mesh_model.h"
+#include <doctest/doctest.h>
+
+namespace persimmonquay::testing {
+namespace {
+
+constexpr int Seeds = 4;
+
+/// A catalogue whose upstreams differ in speed: two quick ones in the first
+/// data centre, one of usual speed in the second, a slow one in the third. Each
+/// data centre has as many callers.
+ModelSite catalogueSite(double Load) {
+  ModelSite Site;
+  Site.Upstreams = {{.Service = "catalogue", .DataCentre = 0, .Slowness = 0.5},
+                    {.Service = "catalogue", .DataCentre = 0},
+                    {.Service = "catalogue", .DataCentre = 1},
+                    {.Service = "catalogue", .DataCentre = 2, .Slowness = 1.5}};
+  Site.Kinds = {{.Name = "browse",
+                 .Service = "catalogue",
+                 .Rates = {50 * Load, 50 * Load, 50 * Load}}};
+  return Site;
+}
+
+/// Adds up the results of several seeds.
+struct Sum {
+  Sum(const ModelSite &Site, ModelPlacement Rule)
+      : ByDataCentre(Site.DataCentres) {
+    for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+      const ModelResult Result = simulate(Site, Rule, Seed);
+      for (std::size_t I = 0; I < Site.DataCentres; ++I)
+        this->ByDataCentre[I] += Result.ByDataCentre[I];
+      for (const auto &[Kind, Counts] : Result.ByKind)
+        this->ByKind[Kind] += Counts;
+      this->Total += Result.total();
+      this->RemoteBytes += Result.RemoteBytes;
+    }
+  }
+
+  /// Share of on-time requests of the data centre that is served worst,
+  /// compared with the one that is served best.
+  double evenness() const {
+    double Worst = 1;
+    double Best = 0;
+    for (const ModelCounts &Counts : this->ByDataCentre) {
+      Worst = std::min(Worst, Counts.onTimeShare());
+      Best = std::max(Best, Counts.onTimeShare());
+    }
+    return Worst / Best;
+  }
+
+  ModelCounts Total;
+  std::vector<ModelCounts> ByDataCentre;
+  std::map<std::string, ModelCounts> ByKind;
+  std::uint64_t RemoteBytes = 0;
+};
+
+TEST_CASE("a data centre with slow upstreams is served as well as the others") {
+  const ModelSite Site = catalogueSite(1.0);
+  const Sum Expected(Site, ModelPlacement::Expected);
+  const Sum Local(Site, ModelPlacement::LocalLeastLoaded);
+  CHECK(Expected.evenness() > 0.97);
+  CHECK(Expected.Total.onTimeShare() > 0.98);
+  CHECK(Local.evenness() < 0.97);
+  // Most calls stay: random placement sends two thirds across.
+  const Sum Random(Site, ModelPlacement::Random);
+  CHECK(Expected.RemoteBytes * 4 < Random.RemoteBytes);
+}
+
+TEST_CASE("calls stay in their data centre while it serves them in time") {
+  ModelSite Site = catalogueSite(0.5);
+  for (ModelUpstream &Upstream : Site.Upstreams)
+    Upstream.Slowness = 1;
+  const Sum Expected(Site, ModelPlacement::Expected);
+  CHECK(Expected.Total.onTimeShare() > 0.99);
+  CHECK(Expected.RemoteBytes * 50 <
+        Sum(Site, ModelPlacement::Random).RemoteBytes);
+}
+
+TEST_CASE("small calls leave a slow data centre more readily than large ones") {
+  // The slow upstream serves one in ten calls late.
+  ModelSite Site = catalogueSite(0.3);
+  Site.Upstreams.back().Slowness = 2.2;
+  Site.Kinds[0].TransferBytes = 600;
+  const Sum Small(Site, ModelPlacement::Expected);
+  Site.Kinds[0].TransferBytes = 30000;
+  const Sum Large(Site, ModelPlacement::Expected);
+  CHECK(Small.ByDataCentre[2].onTimeShare() > 0.98);
+  CHECK(Small.RemoteBytes / 600 > 4 * (Large.RemoteBytes / 30000));
+}
+
+TEST_CASE("an upstream that fails a third of its calls loses them to another "
+          "data centre") {
+  ModelSite Site = catalogueSite(0.5);
+  Site.Upstreams[2].FailureRate = 0.35;
+  // Not retried, so that each failure counts.
+  Site.Kinds[0].IsIdempotent = false;
+  const Sum Expected(Site, ModelPlacement::Expected);
+  const Sum Local(Site, ModelPlacement::LocalLeastLoaded);
+  CHECK(Local.ByDataCentre[1].onTimeShare() < 0.7);
+  CHECK(Expected.ByDataCentre[1].onTimeShare() > 0.85);
+}
+
+TEST_CASE("a data centre that has lost its upstream is served by the others") {
+  ModelSite Site = catalogueSite(0.8);
+  Site.Upstreams[3].DownUntil = Millis(20000);
+  const Sum Expected(Site, ModelPlacement::Expected);
+  CHECK(Expected.ByDataCentre[2].onTimeShare() > 0.97);
+  CHECK(Expected.evenness() > 0.97);
+}
+
+// The catalogue has lost two of its upstreams for good, and calls a third
+// service while it runs a request.
+TEST_CASE("under sustained overload few of the served requests are late") {
+  ModelSite Site = catalogueSite(1.5);
+  Site.Upstreams.resize(2);
+  const Sum Expected(Site, ModelPlacement::Expected);
+  // The two upstreams can run 9 / 0.06 + 9 / 0.12 = 225 calls a second, which
+  // is what arrives.
+  CHECK(Expected.Total.onTimeShare() > 0.93);
+  CHECK(Expected.Total.Late * 50 < Expected.Total.OnTime);
+
+  Site.Kinds[0].Rates = {120, 120, 120};
+  const Sum Overload(Site, ModelPlacement::Expected);
+  const Sum Local(Site, ModelPlacement::LocalLeastLoaded);
+  CHECK(Overload.Total.onTimeShare() > 0.97 * 225 / 360);
+  CHECK(Overload.Total.Late * 30 < Overload.Total.OnTime);
+  CHECK(Overload.Total.onTimeShare() > Local.Total.onTimeShare());
+}
+
+TEST_CASE("a burst of less than half a second is absorbed by the queues") {
+  ModelSite Site = catalogueSite(0.6);
+  Site.BurstFactor = 5;
+  Site.BurstFrom = Millis(5000);
+  Site.BurstUntil = Millis(5300);
+  const Sum Expected(Site, ModelPlacement::Expected);
+  CHECK(Expected.Total.onTimeShare() > 0.99);
+}
+
+TEST_CASE("calls that upstreams make are served before other callers' calls") {
+  // Orders are overloaded by their own callers, but the catalogue depends on
+  // them too: a request whose nested call is rejected has run in vain.
+  ModelSite Site = catalogueSite(0.6);
+  for (std::size_t DataCentre = 0; DataCentre < 3; ++DataCentre)
+    Site.Upstreams.push_back({.Service = "orders", .DataCentre = DataCentre});
+  Site.Kinds[0].NestedKind = "status";
+  Site.Kinds[0].NestedProbability = 0.7;
+  Site.Kinds[0].Priority = 2;
+  Site.Kinds.push_back({.Name = "order",
+                        .Service = "orders",
+                        .IsIdempotent = false,
+                        .Rates = {70, 70, 70},
+                        .ProcessingTime = Millis(160),
+                        .Objective = Millis(500),
+                        .Priority = 1});
+  Site.Kinds.push_back({.Name = "status",
+                        .Service = "orders",
+                        .ProcessingTime = Millis(30),
+                        .Objective = Millis(120),
+                        .Deadline = Millis(400),
+                        .Priority = 1,
+                        .CallerRetries = 0});
+  Sum Expected(Site, ModelPlacement::Expected);
+  CHECK(Expected.ByKind["browse"].onTimeShare() > 0.97);
+  // 27 slots run 160 of the 210 orders that arrive in a second, beside the
+  // nested calls.
+  CHECK(Expected.ByKind["order"].onTimeShare() > 0.6);
+}
+
+} // namespace
+} // namespace persimmonquay::testing
