gossip: compare with other data centres often after a start

An upstream's announcement went to one node of each other data centre, which was not listening yet, and a data centre of two nodes compared directories with others once in four seconds on average. Change: a node compares every 250 ms for the first two seconds, in turn with its own and another data centre; later the nodes of a data centre together compare with another one about once a second, however many they are; a change of the own entry is sent to other data centres two more times.

--- a/persimmonquay/daemon/gossip.cc
+++ b/persimmonquay/daemon/gossip.cc
@@ -16,8 +16,15 @@
 /// Interval at which a node compares its directory with that of another node.
 constexpr Millis CompareInterval{1000};
 
-/// One in this many comparisons is with a node of another data centre.
-constexpr std::uint64_t RemoteCompareEvery = 8;
+/// Number of comparisons at a shorter interval after a node has started or has
+/// learned of other nodes from the stored list. When all nodes start at the
+/// same time, announcements are lost because their recipients don't listen yet.
+constexpr int FastComparisons = 8;
+constexpr Millis FastCompareInterval{250};
+
+/// Number of times that a change of the own entry is sent to other data centres
+/// again, each time to other nodes, since a single datagram may be lost.
+constexpr int RepeatedAnnouncements = 2;
 
 /// Number of nodes of the local data centre with which a node that has just
 /// started compares its directory.
@@ -70,12 +77,17 @@
   return Result;
 }
 
-void Gossip::announce() { this->broadcast(this->makeMessage()); }
+void Gossip::announce() {
+  this->broadcast(this->makeMessage());
+  this->AnnouncementsToRepeat = internal::RepeatedAnnouncements;
+}
 
 void Gossip::announceLocally() { this->sendLocally(this->makeMessage()); }
 
 void Gossip::join(const std::vector<proto::NodeEntry> &SeedNodes) {
   this->announce();
+  this->FastComparisonsLeft = internal::FastComparisons;
+  this->CompareTimer.cancel();
   // The list may be outdated; the nodes themselves know what has changed since.
   std::vector<const proto::NodeEntry *> LocalSeeds;
   for (const proto::NodeEntry &Entry : SeedNodes)
@@ -234,22 +246,45 @@
 
 asio::awaitable<void> Gossip::compareLoop() {
   for (std::uint64_t Round = this->RandomEngine();; ++Round) {
-    this->CompareTimer.expires_after(internal::CompareInterval);
-    co_await this->CompareTimer.async_wait(NoThrow);
+    this->CompareTimer.expires_after(this->FastComparisonsLeft > 0
+                                         ? internal::FastCompareInterval
+                                         : internal::CompareInterval);
+    const auto [Error] = co_await this->CompareTimer.async_wait(NoThrow);
     if (this->Stopped)
       break;
-    const bool IsRemoteRound = Round % internal::RemoteCompareEvery == 0;
-    std::vector<const proto::NodeEntry *> Candidates;
-    for (const proto::NodeEntry *Entry : this->Directory.activePeers())
-      if ((Entry->data_centre() != this->Directory.ownEntry().data_centre()) ==
-          IsRemoteRound)
-        Candidates.push_back(Entry);
-    if (!Candidates.empty())
-      this->compareWith(*Candidates[this->RandomEngine() % Candidates.size()]);
+    // The interval has changed.
+    if (Error)
+      continue;
+    this->compareOnce(Round);
+    if (std::exchange(this->AnnouncementsToRepeat,
+                      std::max(this->AnnouncementsToRepeat - 1, 0)) > 0)
+      this->sendToRemoteDataCentres(this->makeMessage());
     this->Directory.removeDepartedNodes(monoNow());
   }
 }
 
+void Gossip::compareOnce(std::uint64_t Round) {
+  std::vector<const proto::NodeEntry *> LocalNodes;
+  std::vector<const proto::NodeEntry *> RemoteNodes;
+  for (const proto::NodeEntry *Entry : this->Directory.activePeers())
+    (Entry->data_centre() == this->Directory.ownEntry().data_centre()
+         ? LocalNodes
+         : RemoteNodes)
+        .push_back(Entry);
+  // The nodes of a data centre together make about one comparison with another
+  // data centre in each interval, however many they are.
+  std::uint64_t RemoteEvery = LocalNodes.size() + 1;
+  if (this->FastComparisonsLeft > 0) {
+    --this->FastComparisonsLeft;
+    RemoteEvery = std::min<std::uint64_t>(RemoteEvery, 2);
+  }
+  const std::vector<const proto::NodeEntry *> &Candidates =
+      Round % RemoteEvery == 0 && !RemoteNodes.empty() ? RemoteNodes
+                                                       : LocalNodes;
+  if (!Candidates.empty())
+    this->compareWith(*Candidates[this->RandomEngine() % Candidates.size()]);
+}
+
 void Gossip::send(const proto::GossipMessage &Message,
                   const proto::NodeEntry &Recipient) {
   ErrorCode Error;
@@ -275,8 +310,12 @@
       this->send(Message, *Entry);
 }
 
-void Gossip::broadcast(proto::GossipMessage Message) {
+void Gossip::broadcast(const proto::GossipMessage &Message) {
   this->sendLocally(Message);
+  this->sendToRemoteDataCentres(Message);
+}
+
+void Gossip::sendToRemoteDataCentres(proto::GossipMessage Message) {
   std::map<std::string, std::vector<const proto::NodeEntry *>> RemoteNodes;
   for (const proto::NodeEntry *Entry : this->Directory.activePeers())
     if (Entry->data_centre() != this->Directory.ownEntry().data_centre())
--- a/persimmonquay/daemon/gossip.h
+++ b/persimmonquay/daemon/gossip.h
@@ -50,7 +50,8 @@
 
   void stop();
 
-  /// Sends this node's entry and configuration version to all known nodes.
+  /// Sends this node's entry and configuration version to all known nodes, and
+  /// to other data centres a few more times with the next comparisons.
   void announce();
 
   /// Joins the mesh through nodes read from a stored list: announces this node,
@@ -91,6 +92,8 @@
 private:
   asio::awaitable<void> receiveLoop();
   asio::awaitable<void> compareLoop();
+  /// Compares directories with one other node.
+  void compareOnce(std::uint64_t Round);
   void handleMessage(const proto::GossipMessage &Message);
   void compareWith(const proto::NodeEntry &Node);
   void relay(const proto::GossipMessage &Received,
@@ -103,7 +106,9 @@
   void send(const proto::GossipMessage &Message,
             const proto::NodeEntry &Recipient);
   void sendLocally(const proto::GossipMessage &Message);
-  void broadcast(proto::GossipMessage Message);
+  void broadcast(const proto::GossipMessage &Message);
+  /// Sends a message to one node of each other data centre, which relays it.
+  void sendToRemoteDataCentres(proto::GossipMessage Message);
 
   asio::io_context &Context;
   NodeDirectory &Directory;
@@ -118,6 +123,8 @@
   std::uint64_t RemoteBytes = 0;
   /// Nodes that follow the operator's records, by their last message.
   std::set<std::string> StoreFollowers;
+  int FastComparisonsLeft = 0;
+  int AnnouncementsToRepeat = 0;
   bool Stopped = false;
 };
 
--- /dev/null
+++ b/persimmonquay/daemon/gossip_test.cc
@@ -0,0 +1,143 @@
+#include "persimmonquay/daemon/gossip.h"
+#include "persimmonquay/fleet/node_directory.h"
+#include "persimmonquay/rollout/rollout_table.h"
+#include <doctest/doctest.h>
+#include <memory>
+
+namespace persimmonquay {
+namespace {
+
+/// A node that only gossips.
+class GossipNode {
+public:
+  GossipNode(asio::io_context &Context, const std::string &Name,
+             const std::string &DataCentre)
+      : Directory(Name, /*Boot=*/100),
+        Node(Context, this->Directory, this->Rollouts,
+             Gossip::Callbacks{[] {}, [](const std::string &, std::uint64_t) {},
+                               [](const proto::RolloutProgress &) {},
+                               [](const proto::RolloutTally &) {}}) {
+    // Reserves a port, on which the node listens once it starts.
+    Udp::socket Reserved(Context,
+                         Udp::endpoint(asio::ip::address_v4::loopback(), 0));
+    this->Address = Reserved.local_endpoint();
+    proto::NodeEntry Entry;
+    Entry.set_data_centre(DataCentre);
+    Entry.set_address(this->Address.address().to_string());
+    Entry.set_link_port(this->Address.port());
+    this->Directory.setOwnEntry(Entry);
+  }
+
+  void start() { REQUIRE(this->Node.start(this->Address)); }
+
+  /// Returns the entry as the store holds it.
+  proto::NodeEntry storedEntry() const {
+    proto::NodeEntry Result = this->Directory.ownEntry();
+    Result.clear_boot();
+    Result.clear_revision();
+    Result.clear_upstream();
+    return Result;
+  }
+
+  void join(const std::vector<const GossipNode *> &Others) {
+    std::vector<proto::NodeEntry> Entries;
+    for (const GossipNode *Other : Others) {
+      Entries.push_back(Other->storedEntry());
+      this->Directory.merge(Entries.back(), monoNow());
+    }
+    this->Node.join(Entries);
+  }
+
+  void registerUpstream() {
+    proto::NodeEntry Entry = this->Directory.ownEntry();
+    Entry.mutable_upstream()->set_service("gallery");
+    this->Directory.setOwnEntry(Entry);
+    this->Node.announce();
+  }
+
+  bool knowsUpstreamOf(const GossipNode &Other) const {
+    const proto::NodeEntry *Entry =
+        this->Directory.find(Other.Directory.ownEntry().node());
+    return Entry != nullptr && Entry->has_upstream();
+  }
+
+  NodeDirectory Directory;
+  RolloutTable Rollouts;
+  Gossip Node;
+  Udp::endpoint Address;
+};
+
+// Guards against an upstream that stayed unknown in another data centre for up
+// to 15 s after all nodes had restarted: its announcement had been sent before
+// the recipient listened, and small data centres compared directories with
+// other ones only every eight seconds.
+TEST_CASE("an announcement lost at the start is made up for within two "
+          "seconds") {
+  for (int Repetition = 0; Repetition < 3; ++Repetition) {
+    asio::io_context Context;
+    GossipNode Here(Context, "here-1", "here");
+    GossipNode There(Context, "there-1", "there");
+    // Nodes that have not started yet attract some of the datagrams.
+    const GossipNode DownHere(Context, "here-2", "here");
+    const GossipNode DownThere(Context, "there-2", "there");
+    const auto RunFor = [&Context](Millis Duration) {
+      Context.restart();
+      Context.run_for(Duration);
+    };
+    Here.start();
+    Here.join({&There, &DownHere, &DownThere});
+    Here.registerUpstream();
+    // Long enough that all repetitions of the announcement are lost.
+    RunFor(Millis(2500));
+    There.start();
+    There.join({&Here, &DownHere, &DownThere});
+    const MonoTime Start = monoNow();
+    while (!There.knowsUpstreamOf(Here) &&
+           monoNow() - Start < std::chrono::seconds(10))
+      RunFor(Millis(20));
+    CHECK(monoNow() - Start < std::chrono::seconds(2));
+    Here.Node.stop();
+    There.Node.stop();
+    RunFor(Millis(20));
+  }
+}
+
+TEST_CASE("a change reaches another data centre although its first "
+          "announcement is lost") {
+  asio::io_context Context;
+  GossipNode Here(Context, "here-1", "here");
+  GossipNode There(Context, "there-1", "there");
+  // Half of the announcements go to this node and are lost.
+  const GossipNode Down(Context, "there-2", "there");
+  Here.start();
+  There.start();
+  Here.join({&There, &Down});
+  There.join({&Here, &Down});
+  // The fast comparisons of the start are over.
+  Context.run_for(Millis(3000));
+  for (int Change = 0; Change < 3; ++Change) {
+    Here.registerUpstream();
+    const MonoTime Start = monoNow();
+    while (!There.knowsUpstreamOf(Here) &&
+           monoNow() - Start < std::chrono::seconds(10)) {
+      Context.restart();
+      Context.run_for(Millis(20));
+    }
+    CHECK(monoNow() - Start < std::chrono::seconds(2));
+    proto::NodeEntry Entry = Here.Directory.ownEntry();
+    Entry.clear_upstream();
+    Here.Directory.setOwnEntry(Entry);
+    Here.Node.announce();
+    while (There.knowsUpstreamOf(Here) &&
+           monoNow() - Start < std::chrono::seconds(10)) {
+      Context.restart();
+      Context.run_for(Millis(20));
+    }
+    CHECK(monoNow() - Start < std::chrono::seconds(4));
+  }
+  Here.Node.stop();
+  There.Node.stop();
+}
+
+} // namespace
+} // namespace persimmonquay
