rollout, move: calls of a few milliseconds are never slow

Both versions answer within a millisecond; "slow" meant above the 98th percentile of the other version, here some tenths of a millisecond. Change: a call is slow only from 5 ms on (firstSlowBucket).

--- a/persimmonquay/move/latency_buckets.cc
+++ b/persimmonquay/move/latency_buckets.cc
@@ -9,6 +9,9 @@
 
 constexpr double FirstBucketMicros = 500.0;
 
+/// Calls that are quicker are never slow.
+constexpr std::chrono::microseconds MinSlowLatency{5000};
+
 } // namespace internal
 
 std::size_t latencyBucket(std::chrono::microseconds Latency) {
@@ -32,4 +35,9 @@
   return LatencyBucketCount - 1;
 }
 
+std::size_t firstSlowBucket(std::span<const double> Counts, double Fraction) {
+  return std::max(quantileBucket(Counts, Fraction) + 1,
+                  latencyBucket(internal::MinSlowLatency));
+}
+
 } // namespace persimmonquay
--- a/persimmonquay/move/move_test.cc
+++ b/persimmonquay/move/move_test.cc
@@ -74,6 +74,18 @@
   CHECK(quantileBucket(Some, 0.95) == 7);
 }
 
+TEST_CASE("calls of a few milliseconds are never slow") {
+  std::vector<double> Counts(LatencyBucketCount, 0.0);
+  Counts[latencyBucket(std::chrono::microseconds(300))] = 100;
+  CHECK(firstSlowBucket(Counts, 0.98) >
+        latencyBucket(std::chrono::microseconds(3000)));
+  CHECK(firstSlowBucket(Counts, 0.98) <=
+        latencyBucket(std::chrono::microseconds(8000)));
+  Counts[latencyBucket(std::chrono::milliseconds(50))] = 100;
+  CHECK(firstSlowBucket(Counts, 0.98) ==
+        latencyBucket(std::chrono::milliseconds(50)) + 1);
+}
+
 TEST_CASE("evidence merged twice, late or out of order is counted once") {
   EvidenceTable Sender("m", "a", 1);
   EvidenceTable Receiver("m", "b", 1);
--- a/persimmonquay/rollout/rollout_test.cc
+++ b/persimmonquay/rollout/rollout_test.cc
@@ -166,6 +166,26 @@
   }
 }
 
+// Guards against judging by differences that nobody notices: two upstreams that
+// responded within a millisecond differed by the noise of their host, and the
+// good version was rolled back in one of eight runs.
+TEST_CASE("a version that is slower by less than milliseconds is completed") {
+  for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
+    std::mt19937_64 Random(Seed * 7919);
+    const auto Quick = [&Random](double MeanMicros) {
+      const double Latency = std::lognormal_distribution<double>(
+          std::log(MeanMicros), 0.5)(Random);
+      return std::pair<bool, Micros>(
+          false, Micros(static_cast<std::int64_t>(Latency)));
+    };
+    const SimulatedRollout::Result Outcome = SimulatedRollout::run(
+        [&](double, double) { return Quick(300); },
+        [&](double, double) { return Quick(900); }, 200, Seed);
+    CAPTURE(Seed);
+    CHECK(Outcome.FinalAction == RolloutDecision::Kind::Complete);
+  }
+}
+
 /// Simulates a bad version with 40 seeds and checks that it is rolled back
 /// before it has had more than a tenth of the calls of the whole duration plus
 /// 50 calls.
