--- a/persimmonquay/move/latency_buckets.h
+++ b/persimmonquay/move/latency_buckets.h
@@ -22,9 +22,10 @@
 /// there are no calls.
 std::size_t quantileBucket(std::span<const double> Counts, double Fraction);
 
-/// Returns the index of the first bucket whose calls count as slow, compared with
-/// calls of which `Fraction` are not. Calls of a few milliseconds are never
-/// slow: callers don't notice, and at this scale the noise of a host decides.
+/// Returns the index of the first bucket whose calls count as slow, compared
+/// with calls of which `Fraction` are not. Calls of a few milliseconds are
+/// never slow: callers don't notice, and at this scale the noise of a host
+/// decides.
 std::size_t firstSlowBucket(std::span<const double> Counts, double Fraction);
 
 } // namespace persimmonquay
