--- a/persimmonquay/daemon/caller_session_test.cc
+++ b/persimmonquay/daemon/caller_session_test.cc
@@ -222,6 +222,24 @@
   Fixture.runUntil([&] { return Fixture.Server->connectionCount() == 0; });
 }
 
+TEST_CASE("a response is not lost because of requests behind it") {
+  PipelineFixture Fixture;
+  Fixture.IsReadingPaused = true;
+  Fixture.send(requestFor("/a", "", "Connection: close\r\n") +
+               requestFor("/b") + requestFor("/c"));
+  Fixture.release("/a", 200, std::string(20000, 'x'));
+  Fixture.runUntil([&] { return Fixture.hasStarted("/a"); });
+  Fixture.runFor(Millis(100));
+  // Bytes that arrive at a closed socket would reset the connection.
+  ErrorCode IgnoredError;
+  Fixture.Caller.write_some(asio::buffer(requestFor("/d")), IgnoredError);
+  Fixture.runFor(Millis(50));
+  Fixture.IsReadingPaused = false;
+  Fixture.runUntil([&] { return Fixture.IsEnded; });
+  REQUIRE(Fixture.responses().size() == 1);
+  CHECK(Fixture.responses()[0].body().size() == 20000);
+}
+
 TEST_CASE("a caller that does not close a finished connection is cut off") {
   PipelineFixture Fixture;
   Fixture.send(requestFor("/a", "", "Connection: close\r\n"));
@@ -427,7 +445,7 @@
   CallerServerLimits Limits;
   Limits.Pipeline.MaxRequests = 1000;
   Limits.Pipeline.MaxBytes = 1U << 20U;
-  Limits.MaxPipelineBytes = 4U << 20U;
+  Limits.MaxPipelineBytes = 1U << 30U;
   PipelineFixture Fixture(Limits);
   Fixture.IsReadingPaused = true;
   const std::string Body(300000, 'b');
--- a/testing/platform/store_stand_in.cc
+++ b/testing/platform/store_stand_in.cc
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 #include <chrono>
 #include <nlohmann/json.hpp>
+#include <thread>
 #include <vector>
 
 namespace persimmonquay::testing {
@@ -101,6 +102,11 @@
   this->ResponsesToLose = Count;
 }
 
+void StoreStandIn::delayResponses(Millis Delay) {
+  const std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->ResponseDelay = Delay;
+}
+
 void StoreStandIn::compactTopic(const std::string &TopicName) {
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   Topic &TopicLog = this->Topics[TopicName];
@@ -120,6 +126,7 @@
   const auto Query = parseQuery(Target);
   std::string Body;
   Poco::StreamCopier::copyToString(Request.stream(), Body);
+  Millis Delay{0};
   {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     ++this->CallCount;
@@ -127,7 +134,9 @@
       sendText(Response, 503, "out");
       return;
     }
+    Delay = this->ResponseDelay;
   }
+  std::this_thread::sleep_for(Delay);
   if (Target.starts_with("/-/log-append"))
     this->append(Query, Body, Response);
   else if (Target.starts_with("/-/log-read"))
--- a/testing/platform/store_stand_in.h
+++ b/testing/platform/store_stand_in.h
@@ -2,6 +2,7 @@
 #ifndef PERSIMMONQUAY_TESTING_PLATFORM_STORE_STAND_IN_H
 #define PERSIMMONQUAY_TESTING_PLATFORM_STORE_STAND_IN_H
 
+#include "persimmonquay/base/time.h"
 #include <Poco/Net/HTTPServer.h>
 #include <condition_variable>
 #include <cstdint>
@@ -46,6 +47,9 @@
   void delayAppends(int Count);
   void carryOutDelayed();
 
+  /// Delays every response from now on.
+  void delayResponses(Millis Delay);
+
   /// Deletes all records of a topic except the newest of each key.
   void compactTopic(const std::string &TopicName);
 
@@ -86,6 +90,7 @@
   std::condition_variable TopicChanged;
   std::map<std::string, Topic> Topics;
   bool Outage = false;
+  Millis ResponseDelay{0};
   int ResponsesToLose = 0;
   int AppendsToDelay = 0;
   /// Queries and bodies of delayed appends.
