daemon: work that was given up during a pause doesn't run, and silence isn't loss

Cause: a node that was stopped for seconds (SIGSTOP) found calls in its sockets whose cancellation or end of connection stood behind them, and ran them, also non-idempotent ones: with four calls of 50 kB up to four ran after their callers had got 504. Also a request of a caller that had left ran at the own upstream. A node that didn't answer probes for 1 s lost all its running calls: the callers of non-idempotent ones got 502 although the answer came later. Change: LinkServer passes calls on only once all frames received so far have been read and the connection is open; CallerSession checks the connection before it starts requests; PeerLink gives up only idempotent calls of a silent node, keeps the connection for the others, and reads what waits before it judges; heartbeats are not judged right after a pause; a queued call is checked by its deadline also if that comes before its objective.

--- a/persimmonquay/daemon/caller_session.cc
+++ b/persimmonquay/daemon/caller_session.cc
@@ -260,7 +260,16 @@
 }
 
 void CallerSession::startRequests() {
+  // After a pause of this process, the caller may have left long ago, which the
+  // reader has not noticed yet.
+  if (hasPeerClosed(this->Socket)) {
+    this->close();
+    return;
+  }
   for (const std::uint64_t Number : this->Pipeline.startRequests()) {
+    // Completing a request may have closed the connection.
+    if (this->IsClosed)
+      return;
     Exchange &Started = this->Exchanges.at(Number);
     if (Started.Response) {
       this->complete(Number, *std::move(Started.Response));
@@ -277,6 +286,8 @@
 }
 
 asio::awaitable<void> CallerSession::handle(std::uint64_t Number) {
+  if (this->IsClosed)
+    co_return;
   HttpResponse Response =
       co_await this->State->HandleRequest(this->Exchanges.at(Number).Request);
   if (!this->IsClosed)
--- a/persimmonquay/daemon/frame_channel.h
+++ b/persimmonquay/daemon/frame_channel.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace persimmonquay {
 
@@ -35,12 +36,21 @@
   void close();
 
   bool isOpen() const { return this->Socket.is_open(); }
+
+  /// Returns whether the peer has sent anything that `receive()` has not
+  /// returned yet, apart from the beginning of a frame.
+  bool hasUnreadFrames() const;
+
+  /// Returns whether the peer has closed the connection.
+  bool isClosedByPeer();
+
   MonoTime lastReceived() const { return this->LastReceived; }
   std::size_t queuedBytes() const {
     return this->WriteQueue.size() + this->WriteBuffer.size();
   }
 
 private:
+  std::string_view unparsedBytes() const;
   void startWrite();
 
   /// Closes the connection if the frame that has begun to arrive is not
@@ -55,7 +65,10 @@
   std::string WriteQueue;
   std::string WriteBuffer;
   bool IsWriting = false;
+  /// Holds `ReceivedBytes` bytes, of which `ConsumedBytes` have been returned
+  /// as frames, and then space for the next read.
   std::string ReadBuffer;
+  std::size_t ReceivedBytes = 0;
   std::size_t ConsumedBytes = 0;
   MonoTime LastReceived;
 };
--- a/persimmonquay/daemon/link_server.h
+++ b/persimmonquay/daemon/link_server.h
@@ -17,7 +17,13 @@
 
 /// Accepts connections from the PeerLinks of other nodes and passes their calls
 /// to the gate of the local upstream. When a connection ends, its pending calls
-/// are cancelled; see UpstreamGate::cancel(). Confined to one thread.
+/// are cancelled; see UpstreamGate::cancel().
+///
+/// Handles a node that was paused, or whose connection stalled, for seconds: it
+/// finds calls in its sockets that were cancelled long ago. A call is passed on
+/// only once everything that its sender has sent since has been read.
+///
+/// Confined to one thread.
 class LinkServer : public std::enable_shared_from_this<LinkServer> {
 public:
   /// Returns a frame that updates a node from the given configuration version
@@ -34,6 +40,8 @@
 private:
   asio::awaitable<void> acceptLoop();
   asio::awaitable<void> serve(std::shared_ptr<FrameChannel> Channel);
+  /// Handles every frame except calls and cancels.
+  void handleOtherFrame(FrameChannel &Channel, proto::LinkFrame Frame);
 
   asio::io_context &Context;
   UpstreamGate &Gate;
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -497,6 +497,9 @@
   while (!this->Stopping) {
     this->WatchTimer.expires_after(internal::UpstreamWatchInterval);
     co_await this->WatchTimer.async_wait(NoThrow);
+    // After a pause of this process, heartbeats may wait to be read.
+    if (monoNow() - this->WatchTimer.expiry() > internal::UpstreamWatchInterval)
+      continue;
     if (this->Registry.expire(MaxSilence, monoNow()))
       this->handleUpstreamChange();
     if (monoNow() - this->TrafficLoggedAt >= internal::TrafficLogInterval)
--- a/persimmonquay/daemon/peer_link.h
+++ b/persimmonquay/daemon/peer_link.h
@@ -35,7 +35,14 @@
 
 /// Connects in the background and reconnects after every loss, so that calls
 /// are offered only to nodes that were reachable a moment ago. Detects by
-/// probes that the peer no longer responds. Confined to one thread.
+/// probes that the peer no longer responds.
+///
+/// Handles a peer that is silent but not gone, for instance paused: it gets no
+/// new calls, and the idempotent ones are given up so that they can be retried
+/// elsewhere. The others can't be retried; they wait for the peer's reply until
+/// they are cancelled or the connection ends.
+///
+/// Confined to one thread.
 class PeerLink : public std::enable_shared_from_this<PeerLink> {
 public:
   using ReplyHandler = std::function<void(proto::CallReply)>;
@@ -72,6 +79,11 @@
   const std::string &node() const { return this->Node; }
 
 private:
+  struct PendingCall {
+    ReplyHandler Handler;
+    bool IsIdempotent = false;
+  };
+
   asio::awaitable<void> connectLoop();
   asio::awaitable<bool> connectOnce();
   asio::awaitable<void> receiveLoop();
@@ -79,8 +91,11 @@
   void handle(proto::LinkFrame Frame);
   void send(const proto::LinkFrame &Frame);
   void countFrame(const proto::LinkFrame &Frame);
+  /// Gives up the idempotent calls after the peer has been silent, and closes
+  /// the connection if no other calls are pending.
+  void handleSilence();
   /// Replies UNKNOWN to all pending calls.
-  void failPendingCalls(const std::string &Reason);
+  void failPendingCalls();
 
   asio::io_context &Context;
   std::string Node;
@@ -89,7 +104,7 @@
   FrameLimits Limits;
   ConfigurationHandler OnConfiguration;
   std::shared_ptr<FrameChannel> Channel;
-  std::map<std::uint64_t, ReplyHandler> PendingCalls;
+  std::map<std::uint64_t, PendingCall> PendingCalls;
   std::uint64_t NextId = 1;
   asio::steady_timer ReconnectTimer;
   asio::steady_timer ProbeTimer;
@@ -97,6 +112,8 @@
   std::uint64_t LastSentProbe = 0;
   std::uint64_t LastAnsweredProbe = 0;
   MonoTime ProbeSentTime;
+  /// Whether the peer has not answered the last probe in time.
+  bool IsPeerSilent = false;
   LinkTraffic Traffic;
 };
 
--- a/persimmonquay/traffic/traffic_test.cc
+++ b/persimmonquay/traffic/traffic_test.cc
@@ -130,6 +130,24 @@
   CHECK(Expired[0].Id == 2);
 }
 
+// A caller may state a shorter timeout than the latency objective of its route.
+TEST_CASE("a waiting call is not started after its deadline") {
+  AdmissionQueue Queue(1);
+  const MonoTime Now = monoNow();
+  Queue.offer(callOf(1, Now, Millis(500), Millis(1500), Millis(100)), NoLimit,
+              Now);
+  CHECK(Queue
+            .offer(callOf(2, Now, Millis(800), Millis(250), Millis(100)),
+                   NoLimit, Now)
+            .Verdict == AdmissionVerdict::Wait);
+  REQUIRE(Queue.nextExpiry());
+  CHECK(*Queue.nextExpiry() <= Now + Millis(150));
+  // The process was paused until after the deadline.
+  const std::vector<RejectedCall> Expired = Queue.expire(Now + Millis(260));
+  REQUIRE(Expired.size() == 1);
+  CHECK(Expired[0].Id == 2);
+}
+
 // Guards against the rejection of nested calls (made by an upstream while it
 // serves another call) for being late, which wasted all the work of the call
 // that needed them. Found in simulated days at high load.
