traffic: upstream_ranking instead of a second "placement"; memory default for pipelines

placement.h ranked upstreams while call_placement.h places calls; the file now says what it does. MaxPipelineBytes was 0 when the settings state no memory, so that such a node ran one request of a connection at a time; it uses the same default as the other bounds.

--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -249,8 +249,8 @@
 
 CallerServerLimits MeshNode::callerLimits() const {
   CallerServerLimits Result;
-  Result.MaxPipelineBytes = static_cast<std::size_t>(
-      this->Settings.memory_mb() * 1048576 * internal::MaxPipelineMemoryShare);
+  Result.MaxPipelineBytes =
+      internal::memoryShare(this->Settings, internal::MaxPipelineMemoryShare);
   if (!this->Router.routes())
     return Result;
   const proto::CallerLimits &Limits =
--- a/persimmonquay/daemon/route_target.h
+++ b/persimmonquay/daemon/route_target.h
@@ -2,7 +2,7 @@
 #ifndef PERSIMMONQUAY_DAEMON_ROUTE_TARGET_H
 #define PERSIMMONQUAY_DAEMON_ROUTE_TARGET_H
 
-#include "persimmonquay/traffic/placement.h"
+#include "persimmonquay/traffic/upstream_ranking.h"
 #include "proto/link.pb.h"
 #include <memory>
 
--- a/persimmonquay/traffic/call_placement.cc
+++ b/persimmonquay/traffic/call_placement.cc
@@ -1,6 +1,6 @@
 #include "persimmonquay/traffic/call_placement.h"
 
-#include "persimmonquay/traffic/placement.h"
+#include "persimmonquay/traffic/upstream_ranking.h"
 #include <algorithm>
 #include <cmath>
 
--- a/persimmonquay/traffic/traffic_test.cc
+++ b/persimmonquay/traffic/traffic_test.cc
@@ -1,7 +1,7 @@
 #include "persimmonquay/traffic/admission_queue.h"
 #include "persimmonquay/traffic/call_placement.h"
-#include "persimmonquay/traffic/placement.h"
 #include "persimmonquay/traffic/retry_budget.h"
+#include "persimmonquay/traffic/upstream_ranking.h"
 #include <cmath>
 #include <doctest/doctest.h>
 #include <map>
--- a/persimmonquay/traffic/placement.cc
+++ b/persimmonquay/traffic/upstream_ranking.cc
@@ -1,4 +1,4 @@
-#include "persimmonquay/traffic/placement.h"
+#include "persimmonquay/traffic/upstream_ranking.h"
 
 #include <algorithm>
 #include <cmath>
--- a/persimmonquay/traffic/placement.h
+++ b/persimmonquay/traffic/upstream_ranking.h
@@ -8,8 +8,8 @@
 //  - Upstreams that were just added.
 //
 // `CallPlacement` decides between data centres.
-#ifndef PERSIMMONQUAY_TRAFFIC_PLACEMENT_H
-#define PERSIMMONQUAY_TRAFFIC_PLACEMENT_H
+#ifndef PERSIMMONQUAY_TRAFFIC_UPSTREAM_RANKING_H
+#define PERSIMMONQUAY_TRAFFIC_UPSTREAM_RANKING_H
 
 #include "persimmonquay/base/time.h"
 #include "persimmonquay/traffic/processing_time_estimate.h"
@@ -121,4 +121,4 @@
 
 } // namespace persimmonquay
 
-#endif // PERSIMMONQUAY_TRAFFIC_PLACEMENT_H
+#endif // PERSIMMONQUAY_TRAFFIC_UPSTREAM_RANKING_H
--- a/testing/model/mesh_model.cc
+++ b/testing/model/mesh_model.cc
@@ -2,8 +2,8 @@
 
 #include "persimmonquay/traffic/admission_queue.h"
 #include "persimmonquay/traffic/call_placement.h"
-#include "persimmonquay/traffic/placement.h"
 #include "persimmonquay/traffic/processing_time_estimate.h"
+#include "persimmonquay/traffic/upstream_ranking.h"
 #include <algorithm>
 #include <cmath>
 #include <memory>
