gossip, traffic: find returning nodes without the store; leave absent upstreams alone

Ruled out: late directories (the entries were complete elsewhere), capacity. Change: departed nodes of the data centre are offered comparisons for as long as their entries are kept; a node that could not read the list announces itself to those that it learns of. An upstream whose node rejects a call for another reason than load gets calls for 0.2 s, doubled up to 3.2 s, only if there is no other.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -472,6 +472,7 @@
                      std::max(Millis(Reply.retry_after_ms()), Millis{1}));
   if (Reply.retry_after_ms() == 0) {
     Call.ExcludedNodes.insert(Node);
+    Target.View.recordUnavailable(Now);
     return;
   }
   Call.Placement.recordBusy(
--- a/persimmonquay/daemon/gossip.cc
+++ b/persimmonquay/daemon/gossip.cc
@@ -30,6 +30,10 @@
 /// started compares its directory.
 constexpr std::size_t SeedComparisons = 2;
 
+/// Number of comparisons that the nodes of a data centre together offer to
+/// departed nodes in each interval, at most.
+constexpr std::size_t InvitationsPerInterval = 4;
+
 /// Size up to which datagrams are not fragmented on common network paths.
 constexpr std::size_t MaxDatagramBytes = 1300;
 
@@ -85,6 +89,7 @@
 void Gossip::announceLocally() { this->sendLocally(this->makeMessage()); }
 
 void Gossip::join(const std::vector<proto::NodeEntry> &SeedNodes) {
+  this->HasJoined = true;
   this->announce();
   this->FastComparisonsLeft = internal::FastComparisons;
   this->CompareTimer.cancel();
@@ -109,7 +114,7 @@
 void Gossip::broadcastProgress(const proto::RolloutProgress &Progress) {
   proto::GossipMessage Message = this->makeMessage();
   *Message.add_rollouts() = Progress;
-  this->broadcast(std::move(Message));
+  this->broadcast(Message);
 }
 
 void Gossip::sendTallies(const std::string &DriverNode,
@@ -160,6 +165,7 @@
       UpdatedEntries.push_back(Entry);
   if (!UpdatedEntries.empty())
     this->Callback.OnDirectoryChanged();
+  this->announceToNewNodes();
   if (Message.relay())
     this->relay(Message, UpdatedEntries);
   if (Message.follows_store())
@@ -283,6 +289,30 @@
                                                        : LocalNodes;
   if (!Candidates.empty())
     this->compareWith(*Candidates[this->RandomEngine() % Candidates.size()]);
+  this->inviteDepartedNode(LocalNodes.size());
+}
+
+void Gossip::inviteDepartedNode(std::size_t ActiveLocalNodes) {
+  const std::uint64_t InviteEvery =
+      1 + ActiveLocalNodes / internal::InvitationsPerInterval;
+  if (this->RandomEngine() % InviteEvery != 0)
+    return;
+  std::vector<const proto::NodeEntry *> Departed;
+  for (const proto::NodeEntry *Entry : this->Directory.entries())
+    if (Entry->leaving() &&
+        Entry->data_centre() == this->Directory.ownEntry().data_centre() &&
+        Entry->node() != this->Directory.ownEntry().node())
+      Departed.push_back(Entry);
+  if (!Departed.empty())
+    this->compareWith(*Departed[this->RandomEngine() % Departed.size()]);
+}
+
+void Gossip::announceToNewNodes() {
+  const std::size_t KnownNodes = this->Directory.activePeers().size();
+  if (this->HasJoined || KnownNodes <= this->AnnouncedNodes)
+    return;
+  this->AnnouncedNodes = KnownNodes;
+  this->announce();
 }
 
 void Gossip::send(const proto::GossipMessage &Message,
--- a/persimmonquay/daemon/gossip.h
+++ b/persimmonquay/daemon/gossip.h
@@ -26,6 +26,11 @@
 /// node. If they differ, the two exchange the hashes of their entries, and then
 /// only the entries that one of them lacks.
 ///
+/// Handles a node that restarts while the stored list of nodes can't be read,
+/// so that it knows no other node: nodes that have left are also offered
+/// comparisons for a while, by which they learn of the others, and then they
+/// announce themselves.
+///
 /// Confined to one thread.
 class Gossip {
 public:
@@ -94,6 +99,10 @@
   asio::awaitable<void> compareLoop();
   /// Compares directories with one other node.
   void compareOnce(std::uint64_t Round);
+  /// Offers a comparison to a node of the local data centre that has left.
+  void inviteDepartedNode(std::size_t ActiveLocalNodes);
+  /// Announces this node to the nodes that it has learned of without `join()`.
+  void announceToNewNodes();
   void handleMessage(const proto::GossipMessage &Message);
   void compareWith(const proto::NodeEntry &Node);
   void relay(const proto::GossipMessage &Received,
@@ -123,6 +132,10 @@
   std::uint64_t RemoteBytes = 0;
   /// Nodes that follow the operator's records, by their last message.
   std::set<std::string> StoreFollowers;
+  /// Whether `join()` has been called.
+  bool HasJoined = false;
+  /// Number of nodes to which this one has announced itself without `join()`.
+  std::size_t AnnouncedNodes = 0;
   int FastComparisonsLeft = 0;
   int AnnouncementsToRepeat = 0;
   bool Stopped = false;
--- a/persimmonquay/daemon/gossip_test.cc
+++ b/persimmonquay/daemon/gossip_test.cc
@@ -11,8 +11,8 @@
 class GossipNode {
 public:
   GossipNode(asio::io_context &Context, const std::string &Name,
-             const std::string &DataCentre)
-      : Directory(Name, /*Boot=*/100),
+             const std::string &DataCentre, std::uint64_t Boot = 100)
+      : Directory(Name, Boot),
         Node(Context, this->Directory, this->Rollouts,
              Gossip::Callbacks{[] {}, [](const std::string &, std::uint64_t) {},
                                [](const proto::RolloutProgress &) {},
@@ -30,6 +30,22 @@
 
   void start() { REQUIRE(this->Node.start(this->Address)); }
 
+  /// Takes over the address of an earlier run, which must have stopped.
+  void useAddressOf(const GossipNode &EarlierRun) {
+    this->Address = EarlierRun.Address;
+    proto::NodeEntry Entry = this->Directory.ownEntry();
+    Entry.set_link_port(this->Address.port());
+    this->Directory.setOwnEntry(Entry);
+  }
+
+  void leave() {
+    proto::NodeEntry Entry = this->Directory.ownEntry();
+    Entry.clear_upstream();
+    Entry.set_leaving(true);
+    this->Directory.setOwnEntry(Entry);
+    this->Node.announce();
+  }
+
   /// Returns the entry as the store holds it.
   proto::NodeEntry storedEntry() const {
     proto::NodeEntry Result = this->Directory.ownEntry();
@@ -139,5 +155,52 @@
   There.Node.stop();
 }
 
+// Found in an incident (pinjata-koop inc-b74f): nodes that restarted while the
+// store reset their connections knew no other node, nor a configuration, for as
+// long as the store did so. The others took them for gone.
+TEST_CASE("a node that returns is found although it can't read the list") {
+  asio::io_context Context;
+  GossipNode First(Context, "here-1", "here");
+  GossipNode Second(Context, "here-2", "here");
+  auto Earlier = std::make_unique<GossipNode>(Context, "here-3", "here");
+  const std::vector<GossipNode *> Nodes{&First, &Second, Earlier.get()};
+  for (GossipNode *Node : Nodes)
+    Node->start();
+  First.join({&Second, Earlier.get()});
+  Second.join({&First, Earlier.get()});
+  Earlier->join({&First, &Second});
+  First.registerUpstream();
+  Earlier->registerUpstream();
+  Context.run_for(Millis(500));
+  REQUIRE(First.knowsUpstreamOf(*Earlier));
+  Earlier->leave();
+  Context.restart();
+  Context.run_for(Millis(3000));
+  REQUIRE_FALSE(First.knowsUpstreamOf(*Earlier));
+  Earlier->Node.stop();
+  Context.restart();
+  Context.run_for(Millis(50));
+
+  GossipNode Returned(Context, "here-3", "here", /*Boot=*/200);
+  Returned.useAddressOf(*Earlier);
+  Returned.start();
+  Returned.registerUpstream();
+  const MonoTime Start = monoNow();
+  const auto IsKnown = [&] {
+    return Returned.knowsUpstreamOf(First) && First.knowsUpstreamOf(Returned) &&
+           Second.knowsUpstreamOf(Returned);
+  };
+  while (!IsKnown() && monoNow() - Start < std::chrono::seconds(10)) {
+    Context.restart();
+    Context.run_for(Millis(20));
+  }
+  CHECK(monoNow() - Start < std::chrono::seconds(3));
+  First.Node.stop();
+  Second.Node.stop();
+  Returned.Node.stop();
+  Context.restart();
+  Context.run_for(Millis(50));
+}
+
 } // namespace
 } // namespace persimmonquay
--- a/persimmonquay/daemon/target_table.cc
+++ b/persimmonquay/daemon/target_table.cc
@@ -5,6 +5,7 @@
 #include "persimmonquay/daemon/routed_call.h"
 #include "persimmonquay/fleet/node_directory.h"
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace persimmonquay {
@@ -170,7 +171,13 @@
       continue;
     Result.push_back(Target);
   }
-  return Result;
+  const MonoTime Now = monoNow();
+  std::vector<std::shared_ptr<RouteTarget>> Available;
+  std::copy_if(Result.begin(), Result.end(), std::back_inserter(Available),
+               [Now](const std::shared_ptr<RouteTarget> &Target) {
+                 return !Target->View.isUnavailable(Now);
+               });
+  return Available.empty() ? Result : Available;
 }
 
 } // namespace persimmonquay
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -184,10 +184,10 @@
       {"tiny chunks", {Chunked, "1\r\nx\r\n1\r\nx\r\n1\r\nx\r\n1\r\nx\r\n"}},
       {"huge chunk", {Chunked + "ffffffff\r\n", std::string(10000, 'x')}},
       {"trailers", {Chunked + "0\r\n", "a: b\r\n"}}};
-  for (const auto &[Name, Played] : Cases) {
-    CAPTURE(Name);
+  for (const auto &Case : Cases) {
+    CAPTURE(Case.first);
     GateFixture Fixture;
-    Fixture.Scripts["a"] = Played;
+    Fixture.Scripts["a"] = Case.second;
     const MonoTime Start = monoNow();
     checkUnknown(Fixture.call("a", Millis(15000)));
     CHECK(monoNow() - Start < Millis(10000));
@@ -206,10 +206,10 @@
       {"header", {"HTTP/1.1 200 OK\r\na: ", "b", Millis(50)}},
       {"interim", {"", "HTTP/1.1 102 P\r\n\r\n", Millis(400)}},
       {"body", {"HTTP/1.1 200 OK\r\n\r\n", "x", Millis(50)}}};
-  for (const auto &[Name, Played] : Cases) {
-    CAPTURE(Name);
+  for (const auto &Case : Cases) {
+    CAPTURE(Case.first);
     GateFixture Fixture;
-    Fixture.Scripts["a"] = Played;
+    Fixture.Scripts["a"] = Case.second;
     Fixture.submit("a", Millis(600));
     // Another call is served meanwhile.
     CHECK(Fixture.call("b").outcome() == proto::ANSWERED);
--- a/persimmonquay/traffic/traffic_test.cc
+++ b/persimmonquay/traffic/traffic_test.cc
@@ -369,6 +369,26 @@
 // Guards against starving a new upstream: it was assumed to take 100 ms per
 // call and never got one next to an upstream measured to be faster. Found by a
 // test with several processes.
+TEST_CASE("an upstream that is not there is tried ever more rarely") {
+  MonoTime Now = monoNow();
+  UpstreamView View(true, 9);
+  CHECK_FALSE(View.isUnavailable(Now));
+  const MonoTime End = Now + std::chrono::seconds(30);
+  int Offers = 0;
+  for (; Now < End; Now += Millis(10))
+    if (!View.isUnavailable(Now)) {
+      View.recordUnavailable(Now);
+      ++Offers;
+    }
+  CHECK(Offers <= 15);
+  CHECK(Offers >= 8);
+  // The upstream is back.
+  View.recordResult(/*Failed=*/false, Millis(100), Now);
+  CHECK_FALSE(View.isUnavailable(Now));
+  View.recordUnavailable(Now);
+  CHECK_FALSE(View.isUnavailable(Now + Millis(250)));
+}
+
 TEST_CASE("an upstream that has served no call yet gets calls") {
   const MonoTime Now = monoNow();
   UpstreamView Measured(true, 9);
--- a/persimmonquay/traffic/upstream_ranking.cc
+++ b/persimmonquay/traffic/upstream_ranking.cc
@@ -36,6 +36,11 @@
 /// Range of the random tiebreak, as a fraction of an upstream's cost.
 constexpr double TiebreakFactor = 0.1;
 
+/// Time for which an unavailable upstream gets no calls if there are others;
+/// doubled with each rejection.
+constexpr Millis MinUnavailableBackoff{200};
+constexpr Millis MaxUnavailableBackoff{3200};
+
 } // namespace internal
 
 void UpstreamView::recordLoad(std::uint32_t Running, std::uint32_t,
@@ -56,6 +61,8 @@
   this->FailureRate = PreviousRate + internal::FailureWeight *
                                          ((Failed ? 1.0 : 0.0) - PreviousRate);
   this->LastResultAt = Now;
+  this->UnavailableUntil = MonoTime{};
+  this->UnavailableBackoff = Millis{0};
   if (Failed)
     return;
   this->ProcessingTime.add(CallProcessingTime);
@@ -68,6 +75,13 @@
   this->Slowness += (Ratio - this->Slowness) / this->SlownessSamples;
 }
 
+void UpstreamView::recordUnavailable(MonoTime Now) {
+  this->UnavailableBackoff =
+      std::clamp(this->UnavailableBackoff * 2, internal::MinUnavailableBackoff,
+                 internal::MaxUnavailableBackoff);
+  this->UnavailableUntil = Now + this->UnavailableBackoff;
+}
+
 double UpstreamView::failureRate(MonoTime Now) const {
   const std::chrono::duration<double> Age = Now - this->LastResultAt;
   const std::chrono::duration<double> FleetRateAge = Now - this->FleetRateAt;
--- a/persimmonquay/traffic/upstream_ranking.h
+++ b/persimmonquay/traffic/upstream_ranking.h
@@ -6,6 +6,8 @@
 //  - Upstreams that fail some of their calls while they look healthy: failures
 //    add to the expected time.
 //  - Upstreams that were just added.
+//  - Upstreams that are gone although this node has not heard of it, for
+//    instance because another host has taken over the address of theirs.
 //
 // `CallPlacement` decides between data centres.
 #ifndef PERSIMMONQUAY_TRAFFIC_UPSTREAM_RANKING_H
@@ -44,6 +46,9 @@
   void recordResult(
       bool Failed, std::chrono::microseconds CallProcessingTime, MonoTime Now,
       std::chrono::microseconds TypicalTime = std::chrono::microseconds{0});
+  /// Records that a gate has rejected a call for a reason other than load: it
+  /// has no such upstream, or the upstream can't be used at present.
+  void recordUnavailable(MonoTime Now);
   /// Records the fraction of all nodes' calls that failed at the upstream.
   void recordFleetFailureRate(double Rate, MonoTime Now) {
     this->FleetFailureRate = Rate;
@@ -53,6 +58,14 @@
   // Queries.
 
   bool isLocal() const { return this->Local; }
+
+  /// Returns whether the upstream has just been found unavailable. The time
+  /// grows with each further rejection, since a node may hold an outdated entry
+  /// of the upstream for long; a call that reaches the upstream ends it.
+  bool isUnavailable(MonoTime Now) const {
+    return Now < this->UnavailableUntil;
+  }
+
   std::uint32_t inFlight() const { return this->InFlight; }
 
   /// Returns the expected time that a call would wait for a slot there.
@@ -98,6 +111,9 @@
   double FleetFailureRate = 0;
   MonoTime LastResultAt;
   MonoTime FleetRateAt;
+  MonoTime UnavailableUntil;
+  /// Length of the next such time.
+  std::chrono::milliseconds UnavailableBackoff{0};
 };
 
 /// An upstream as a candidate for one call.
--- a/testing/model/mesh_model.cc
+++ b/testing/model/mesh_model.cc
@@ -235,6 +235,7 @@
       return std::nullopt;
     if (this->Rule == ModelPlacement::Expected) {
       std::vector<PlacementTarget> Targets;
+      Targets.reserve(Candidates.size());
       for (const std::size_t I : Candidates)
         Targets.push_back(
             {this->NodeNames[I],
