--- a/testing/platform/platform_test.cc
+++ b/testing/platform/platform_test.cc
@@ -640,13 +640,17 @@
   Setup.Mesh.startNode(Setup.Server);
   REQUIRE(eventually(
       WaitTimeout, [&] { return Setup.Mesh.heartbeat(Setup.Server) == 200; }));
-  const std::string Output = Setup.Server.Sidecar->output();
-  CHECK(Output.find("\"state\":\"ready\"") == std::string::npos);
   Setup.Mesh.store().delayResponses(Millis(0));
   REQUIRE(eventually(WaitTimeout, [&] {
     return Setup.Mesh.call(Setup.Server, {.Target = "/other/1"}).Status == 404;
   }));
   checkUnused(Setup, "left-");
+  // Log lines are written with a delay; this one comes last.
+  Setup.Server.Sidecar->signal(SIGTERM);
+  CHECK(Setup.Server.Sidecar->wait(WaitTimeout) == 0);
+  const std::string Output = Setup.Server.Sidecar->output();
+  CHECK(Output.find("\"message\":\"stopped\"") != std::string::npos);
+  CHECK(Output.find("\"state\":\"ready\"") == std::string::npos);
 }
 
 TEST_CASE("an entry that is stored late does not undo a later departure") {
