traffic: upstreams of other data centres don't count as faster than usual

The lowest of several noisy speeds elsewhere, and an optimistic one for unmeasured upstreams, drew them away, for gains of a few hundredths of a call. Change: speeds elsewhere count as the usual one at best, and a crossing must save a tenth of a call beside its transfer. All tests of placement and the model pass.

--- a/persimmonquay/traffic/call_placement.cc
+++ b/persimmonquay/traffic/call_placement.cc
@@ -33,7 +33,7 @@
 
 /// Loss that a call to another data centre must save in addition, so that
 /// estimates that differ by chance don't move calls back and forth.
-constexpr double MinCrossingGain = 0.02;
+constexpr double MinCrossingGain = 0.1;
 
 /// Ratio of the standard deviation to the mean deviation of processing times.
 constexpr double StandardDeviationFactor = 1.25;
@@ -60,6 +60,9 @@
 }
 
 /// Returns the slowness of each target; see `UpstreamView::slowness()`.
+/// Upstreams of other data centres don't count as faster than usual: the lowest
+/// of several noisy measurements would draw calls away from a data centre that
+/// serves them as well.
 std::vector<double> slownessOf(const std::vector<PlacementTarget> &Targets) {
   std::optional<double> Fastest;
   for (const PlacementTarget &Target : Targets)
@@ -68,9 +71,12 @@
       Fastest = Slowness;
   std::vector<double> Result;
   Result.reserve(Targets.size());
-  for (const PlacementTarget &Target : Targets)
-    Result.push_back(Target.View.slowness().value_or(
-        std::min(Fastest.value_or(1.0), 1.0) * UnmeasuredSlowness));
+  for (const PlacementTarget &Target : Targets) {
+    const double Slowness = Target.View.slowness().value_or(
+        std::min(Fastest.value_or(1.0), 1.0) * UnmeasuredSlowness);
+    Result.push_back(Target.View.isLocal() ? Slowness
+                                           : std::max(Slowness, 1.0));
+  }
   return Result;
 }
 
