--- /dev/null
+++ b/testing/platform/crashing_requests_test.cc
@@ -0,0 +1,192 @@
+// Tests of the program as processes on loopback: requests that crash the
+// upstreams that run them.
+#include "testing/platform/small_mesh.h"
+#include <absl/strings/str_cat.h>
+#include <csignal>
+#include <doctest/doctest.h>
+
+namespace persimmonquay::testing {
+namespace {
+
+/// Generous for busy machines; a test that passes does not wait that long.
+constexpr Millis WaitTimeout{40000};
+
+/// Number of upstreams that a request may crash before all nodes reject it.
+constexpr int MaxCrashes = 3;
+
+/// Time after the last of these crashes by which all nodes know of them, and
+/// number of times that the request may still reach an upstream after that.
+constexpr Millis PropagationTime{3000};
+constexpr std::size_t MaxLateArrivals = 3;
+
+constexpr char CrashingPath[] = "/views/crash";
+
+/// Nodes beside upstreams of "gallery" that crash when they run a request for
+/// `CrashingPath`, and one node beside an upstream of "orders" for callers.
+class CrashingMesh {
+public:
+  explicit CrashingMesh(int GalleryCount) {
+    this->Mesh.add("orders");
+    for (int I = 0; I < GalleryCount; ++I) {
+      TestNode &Node = this->Mesh.add("gallery");
+      Node.Upstream->setHandler(
+          [Instance = Node.Instance](const ReceivedRequest &Request) {
+            if (Request.Target == "/health")
+              return healthResponse(Instance);
+            if (Request.Target == "/views/slow")
+              std::this_thread::sleep_for(Millis(200));
+            return Request.Target == CrashingPath ? std::string(CrashUpstream)
+                                                  : responseTo(Request);
+          });
+    }
+    this->Mesh.publish(5, "gallery");
+    REQUIRE(this->Mesh.waitUntilReady());
+    for (const auto &Node : this->Mesh.nodes())
+      REQUIRE(eventually(WaitTimeout, [&] {
+        return this->callFrom(*Node, "/views/1") == 200;
+      }));
+  }
+
+  /// Sends a safe request through a node; returns the status of the response.
+  int callFrom(const TestNode &Node, const std::string &Target) {
+    return this->Mesh
+        .call(Node, {.Target = Target,
+                     .RequestId = absl::StrCat("call-", ++this->CallCount),
+                     .DeadlineMs = 1500})
+        .Status;
+  }
+
+  /// Starts the upstreams that have crashed again.
+  void restartUpstreams() {
+    for (const auto &Node : this->Mesh.nodes()) {
+      if (!Node->Upstream->isDown())
+        continue;
+      Node->Upstream->restart();
+      Node->StartedUnixMs = static_cast<std::uint64_t>(unixMillis(wallNow()));
+      Node->Sequence = 0;
+      this->Mesh.heartbeat(*Node);
+    }
+  }
+
+  int crashCount() {
+    int Count = 0;
+    for (const auto &Node : this->Mesh.nodes())
+      Count += Node->Upstream->crashCount();
+    return Count;
+  }
+
+  /// Returns how often the crashing request has reached an upstream since
+  /// `Start`.
+  std::size_t arrivalsSince(MonoTime Start) {
+    std::size_t Count = 0;
+    for (const auto &Node : this->Mesh.nodes())
+      for (const ReceivedRequest &Request : Node->Upstream->received())
+        Count += Request.Target == CrashingPath && Request.Arrival >= Start;
+    return Count;
+  }
+
+  /// Repeats the crashing request through one node after the other. Upstreams
+  /// are back a short time after each crash.
+  void repeatCrashingRequest(int Times) {
+    for (int I = 0; I < Times; ++I) {
+      const auto &Nodes = this->Mesh.nodes();
+      const int Status = this->callFrom(
+          *Nodes[static_cast<std::size_t>(I) % Nodes.size()], CrashingPath);
+      CHECK(Status >= 500);
+      std::this_thread::sleep_for(Millis(100));
+      this->restartUpstreams();
+    }
+  }
+
+  SmallMesh Mesh;
+
+private:
+  int CallCount = 0;
+};
+
+} // namespace
+
+// Each repetition of a request that crashes upstreams ended one more of them.
+TEST_CASE("a request that crashes upstreams is not repeated without end") {
+  CrashingMesh Setup(6);
+  Setup.repeatCrashingRequest(12);
+  CHECK(Setup.crashCount() >= 1);
+  CHECK(Setup.crashCount() <= MaxCrashes);
+  std::this_thread::sleep_for(PropagationTime);
+  const MonoTime Known = monoNow();
+  Setup.repeatCrashingRequest(12);
+  CHECK(Setup.arrivalsSince(Known) <= MaxLateArrivals);
+  for (const auto &Node : Setup.Mesh.nodes())
+    CHECK(Setup.callFrom(*Node, "/views/2") == 200);
+}
+
+// A call that had crashed an upstream on a reused connection was reported as
+// not run, and was offered to one upstream after the other.
+TEST_CASE("one call doesn't crash more upstreams than its maximum attempts") {
+  CrashingMesh Setup(5);
+  TestNode &Caller = *Setup.Mesh.nodes()[0];
+  for (int I = 0; I < 40; ++I)
+    CHECK(Setup.callFrom(Caller, "/views/1") == 200);
+  // Connections that have been idle for this long may have been closed by the
+  // upstream, so that an idempotent call may be sent again.
+  std::this_thread::sleep_for(Millis(300));
+  const int Status = Setup.callFrom(Caller, CrashingPath);
+  CHECK(Setup.crashCount() <= 2);
+  // 503 would promise that the call has not run.
+  CHECK(Status == 502);
+}
+
+// Restarted nodes must learn what the others know before they pass on calls.
+TEST_CASE("a request that crashes upstreams stays rejected after restarts") {
+  CrashingMesh Setup(5);
+  Setup.repeatCrashingRequest(10);
+  REQUIRE(Setup.crashCount() <= MaxCrashes);
+  SUBCASE("of one node after the other") {
+    for (const auto &Node : Setup.Mesh.nodes()) {
+      Node->Sidecar->signal(SIGKILL);
+      Setup.Mesh.startNode(*Node);
+      REQUIRE(eventually(WaitTimeout,
+                         [&] { return Setup.Mesh.heartbeat(*Node) == 200; }));
+      std::this_thread::sleep_for(Millis(500));
+    }
+  }
+  SUBCASE("of all nodes at once") {
+    for (const auto &Node : Setup.Mesh.nodes())
+      Node->Sidecar->signal(SIGKILL);
+    for (const auto &Node : Setup.Mesh.nodes())
+      Setup.Mesh.startNode(*Node);
+    for (const auto &Node : Setup.Mesh.nodes())
+      REQUIRE(eventually(WaitTimeout,
+                         [&] { return Setup.Mesh.heartbeat(*Node) == 200; }));
+  }
+  REQUIRE(Setup.Mesh.waitUntilReady());
+  std::this_thread::sleep_for(PropagationTime);
+  const MonoTime Known = monoNow();
+  Setup.repeatCrashingRequest(12);
+  CHECK(Setup.arrivalsSince(Known) <= MaxLateArrivals);
+  for (const auto &Node : Setup.Mesh.nodes())
+    CHECK(eventually(WaitTimeout,
+                     [&] { return Setup.callFrom(*Node, "/views/2") == 200; }));
+}
+
+// Requests that ran beside the crashing one must not be blamed for good.
+TEST_CASE("requests beside a request that crashes upstreams are served") {
+  CrashingMesh Setup(4);
+  const auto &Nodes = Setup.Mesh.nodes();
+  for (int Round = 0; Round < 3; ++Round) {
+    std::vector<std::thread> Callers;
+    for (std::size_t I = 0; I < Nodes.size(); ++I)
+      Callers.emplace_back(
+          [&, I] { Setup.Mesh.call(*Nodes[I], {.Target = "/views/slow"}); });
+    std::this_thread::sleep_for(Millis(50));
+    Setup.repeatCrashingRequest(1);
+    for (std::thread &Caller : Callers)
+      Caller.join();
+  }
+  for (const auto &Node : Nodes)
+    CHECK(eventually(Millis(5000), [&] {
+      return Setup.callFrom(*Node, "/views/slow") == 200;
+    }));
+}
+
+} // namespace persimmonquay::testing
--- a/testing/platform/scripted_upstream.cc
+++ b/testing/platform/scripted_upstream.cc
@@ -5,6 +5,7 @@
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace persimmonquay::testing {
@@ -31,8 +32,9 @@
 
 ScriptedUpstream::ScriptedUpstream(Handler InitialHandler)
     : CurrentHandler(std::move(InitialHandler)),
-      Listener(Poco::Net::SocketAddress("127.0.0.1", 0)) {
-  this->Port = this->Listener.address().port();
+      Listener(
+          Poco::Net::ServerSocket(Poco::Net::SocketAddress("127.0.0.1", 0))) {
+  this->Port = this->Listener->address().port();
   this->Acceptor = std::thread([this] { this->accept(); });
 }
 
@@ -55,13 +57,48 @@
 
 void ScriptedUpstream::accept() {
   while (!this->Stopping) {
-    if (!this->Listener.poll(PollInterval, Poco::Net::Socket::SELECT_READ))
+    std::unique_lock<std::mutex> Lock(this->Mutex);
+    std::optional<Poco::Net::ServerSocket> Current = this->Listener;
+    Lock.unlock();
+    if (!Current) {
+      std::this_thread::sleep_for(Millis(5));
       continue;
-    Poco::Net::StreamSocket Socket = this->Listener.acceptConnection();
+    }
+    if (!Current->poll(PollInterval, Poco::Net::Socket::SELECT_READ))
+      continue;
+    Lock.lock();
+    if (!this->Listener)
+      continue;
+    Poco::Net::StreamSocket Socket = this->Listener->acceptConnection();
+    this->Connections.push_back(Socket);
     this->Workers.emplace_back([this, Socket] { this->serve(Socket); });
   }
 }
 
+void ScriptedUpstream::crash() {
+  const std::lock_guard<std::mutex> Lock(this->Mutex);
+  ++this->CrashCount;
+  if (this->Listener)
+    // Another thread may still hold the socket; new connections must be refused
+    // at once.
+    ::shutdown(this->Listener->impl()->sockfd(), SHUT_RDWR);
+  this->Listener.reset();
+  for (Poco::Net::StreamSocket &Connection : this->Connections)
+    ::shutdown(Connection.impl()->sockfd(), SHUT_RDWR);
+  this->Connections.clear();
+}
+
+void ScriptedUpstream::restart() {
+  const std::lock_guard<std::mutex> Lock(this->Mutex);
+  if (!this->Listener)
+    this->Listener.emplace(Poco::Net::SocketAddress("127.0.0.1", this->Port));
+}
+
+bool ScriptedUpstream::isDown() {
+  const std::lock_guard<std::mutex> Lock(this->Mutex);
+  return !this->Listener;
+}
+
 bool ScriptedUpstream::readRequest(Poco::Net::StreamSocket &Socket,
                                    std::string &Buffer,
                                    ReceivedRequest *Request) {
@@ -120,6 +157,10 @@
       std::string Response = RequestHandler(Request);
       if (Response.empty())
         return;
+      if (Response == CrashUpstream) {
+        this->crash();
+        return;
+      }
       const bool Close = Response[0] == CloseAfterResponse;
       if (Close)
         Response.erase(0, 1);
--- a/testing/platform/scripted_upstream.h
+++ b/testing/platform/scripted_upstream.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -36,13 +37,17 @@
 /// not sent.
 inline constexpr char CloseAfterResponse = '!';
 
+/// A handler's result that ends the upstream: all its connections are closed
+/// and new ones are refused until `restart()`.
+inline constexpr char CrashUpstream[] = "#";
+
 /// Listens on a port of 127.0.0.1 and sends exactly the bytes that a handler
 /// returns.
 class ScriptedUpstream {
 public:
   /// Returns the bytes of the response. An empty result closes the connection
   /// without a response; a result that begins with `CloseAfterResponse` closes
-  /// it after the rest has been sent.
+  /// it after the rest has been sent; `CrashUpstream` ends the upstream.
   using Handler = std::function<std::string(const ReceivedRequest &)>;
 
   explicit ScriptedUpstream(Handler InitialHandler);
@@ -53,6 +58,15 @@
   /// Replaces the handler for requests that arrive from now on.
   void setHandler(Handler NewHandler);
 
+  /// Listens again after a crash.
+  void restart();
+
+  /// Returns whether the upstream has crashed and not been restarted.
+  bool isDown();
+
+  /// Returns how often the upstream has crashed.
+  int crashCount() const { return this->CrashCount; }
+
   /// Returns the requests received so far.
   std::vector<ReceivedRequest> received();
 
@@ -61,6 +75,7 @@
 
 private:
   void accept();
+  void crash();
   void serve(Poco::Net::StreamSocket Socket);
   bool readRequest(Poco::Net::StreamSocket &Socket, std::string &Buffer,
                    ReceivedRequest *Request);
@@ -71,7 +86,10 @@
   std::vector<ReceivedRequest> Requests;
   std::atomic<bool> Stopping = false;
   std::atomic<int> ClosedByCaller = 0;
-  Poco::Net::ServerSocket Listener;
+  std::atomic<int> CrashCount = 0;
+  /// Empty while the upstream is down.
+  std::optional<Poco::Net::ServerSocket> Listener;
+  std::vector<Poco::Net::StreamSocket> Connections;
   std::thread Acceptor;
   std::vector<std::thread> Workers;
 };
