daemon: a call that was sent and can't be resent may have run

What callers saw: one idempotent request ended every upstream of its service and was answered 503, which promises that it has not run.

Cause: UpstreamGate::run() resends an idempotent call whose connection broke after an idle time. If the upstream had ended under the call, the connection attempt of the resend failed, and the reply said NOT_RUN and not arrived, as if nothing had been sent. The router offers calls that have not arrived again without counting them against max_attempts or the retry budget.

Change: after a failed resend the reply is UNKNOWN and arrived. Class of the fault: the outcome of a later attempt replaced that of an earlier one.

What remains is that nothing remembers a crash between calls.

--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -496,6 +496,14 @@
     SendAgain = false;
     if (!co_await this->connect(*ActiveCall)) {
       this->UnreachableUntil = monoNow() + internal::UnreachableBackoff;
+      if (Resent > 0) {
+        // The call was sent on the connection that broke.
+        Resent = 0;
+        Reply.set_arrived(true);
+        Reply.set_outcome(proto::UNKNOWN);
+        Reply.set_reason("the upstream ended while the call was there");
+        break;
+      }
       Reply.set_outcome(proto::NOT_RUN);
       Reply.set_reason("the upstream can't be reached");
       break;
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -304,6 +304,22 @@
   CHECK(Fixture.call("b").body() == "whole");
 }
 
+// The call may have crashed the upstream; a reply that it has not run would be
+// wrong, and would let it go to one upstream after the other.
+TEST_CASE("a call sent to an upstream that then ended is not reported as not "
+          "run") {
+  GateFixture Fixture;
+  Fixture.Scripts["crash"] = {.Bytes = "", .ClosesAfterBytes = true};
+  CHECK(Fixture.call("warm").outcome() == proto::ANSWERED);
+  // The connection is then idle for long enough for a resend.
+  Fixture.runFor(Millis(200));
+  Fixture.Acceptor.close();
+  const proto::CallReply Reply = Fixture.call("crash");
+  CHECK(Reply.outcome() == proto::UNKNOWN);
+  CHECK(Reply.arrived());
+  CHECK(Reply.resent() == 0);
+}
+
 TEST_CASE("connections of an upstream that states no ids are not used again") {
   GateFixture Fixture;
   for (const std::string Id : {"a", "b"}) {
