daemon: a rejection of a resent call doesn't deny its first attempt

What callers saw: 503, which promises that a call has not run, although its first attempt may have run at an upstream.

If the upstream rejected the second one, the reply said NOT_RUN. Found while looking for the cause elsewhere.

Change: NOT_RUN after a resend becomes UNKNOWN. Only idempotent calls are resent. Evidence: upstream_gate_test "a resent call that is rejected is not reported as not run" failed before (NOT_RUN) and passes.

--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -520,6 +520,9 @@
       ++Resent;
     else
       Reply = this->evaluate(*ActiveCall, std::move(Result));
+    // The first attempt may have run even if the upstream rejected the second.
+    if (Resent > 0 && Reply.outcome() == proto::NOT_RUN)
+      Reply.set_outcome(proto::UNKNOWN);
   }
   Reply.set_resent(Resent);
   this->finish(ActiveCall, std::move(Reply));
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -320,6 +320,23 @@
   CHECK(Reply.resent() == 0);
 }
 
+// The first attempt was lost with its connection and may have run.
+TEST_CASE("a resent call that is rejected is not reported as not run") {
+  GateFixture Fixture;
+  CHECK(Fixture.call("warm").outcome() == proto::ANSWERED);
+  Fixture.runFor(Millis(200));
+  Fixture.Scripts["again"] = {.Bytes = "", .ClosesAfterBytes = true};
+  Fixture.submit("again");
+  Fixture.runUntil([&] { return Fixture.EndedConnections == 1; });
+  Fixture.Scripts["again"] = {
+      .Bytes = "HTTP/1.1 503 Full\r\nx-pq-not-run: 1\r\n"
+               "x-pq-request-id: again\r\nContent-Length: 0\r\n\r\n"};
+  Fixture.runUntil([&] { return Fixture.Replies.contains("again"); });
+  const proto::CallReply Reply = Fixture.Replies["again"];
+  CHECK(Reply.resent() == 1);
+  CHECK(Reply.outcome() == proto::UNKNOWN);
+}
+
 TEST_CASE("connections of an upstream that states no ids are not used again") {
   GateFixture Fixture;
   for (const std::string Id : {"a", "b"}) {
