daemon: tell an upstream that has ended from a lost connection

Why: the hypotheses about BUDGET can't be told apart from logs: nothing says that an upstream ended, nor which requests ran at that moment.

Change: after an exchange without a response the gate opens a new connection, which replaces the broken one. If that fails, the upstream has ended: the gate logs "upstream ended while it ran calls" with the ids and fingerprints of the running calls and counts pq_upstream_crashes_total. Nothing is decided by it yet.

--- a/persimmonquay/daemon/metrics.cc
+++ b/persimmonquay/daemon/metrics.cc
@@ -73,6 +73,12 @@
   internal::addCounters<2>(*this->Registry, "pq_store_calls_total",
                            "Calls to the platform's store by result", "result",
                            {"failed", "served"}, &this->StoreCalls);
+  this->UpstreamCrashes =
+      &prometheus::BuildCounter()
+           .Name("pq_upstream_crashes_total")
+           .Help("Times that the own upstream ended while it ran calls")
+           .Register(*this->Registry)
+           .Add({});
   this->RequestSeconds =
       &internal::addHistogram(*this->Registry, "pq_request_seconds",
                               "Time from a request's end to its answer");
@@ -113,6 +119,8 @@
   this->StoreCalls[Succeeded ? 1 : 0]->Increment();
 }
 
+void Metrics::recordUpstreamCrash() { this->UpstreamCrashes->Increment(); }
+
 void Metrics::recordLoopLag(std::chrono::microseconds Lag) {
   this->LoopLagSeconds->Observe(internal::toSeconds(Lag));
 }
--- a/persimmonquay/daemon/metrics.h
+++ b/persimmonquay/daemon/metrics.h
@@ -55,6 +55,8 @@
   void recordGateAction(GateAction Action);
   void recordGateWait(std::chrono::microseconds Duration);
   void recordStoreCall(bool Succeeded);
+  /// Records that the local upstream has ended while it ran calls.
+  void recordUpstreamCrash();
   /// Records by how much a timer of the event loop was late.
   void recordLoopLag(std::chrono::microseconds Lag);
 
@@ -74,6 +76,7 @@
   std::array<prometheus::Counter *, 2> Retries{};
   std::array<prometheus::Counter *, 4> GateActions{};
   std::array<prometheus::Counter *, 2> StoreCalls{};
+  prometheus::Counter *UpstreamCrashes;
   prometheus::Histogram *RequestSeconds;
   prometheus::Histogram *GateWaitSeconds;
   prometheus::Histogram *LoopLagSeconds;
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -5,8 +5,10 @@
 #include "persimmonquay/daemon/hop_by_hop_headers.h"
 #include "persimmonquay/daemon/metrics.h"
 #include "persimmonquay/daemon/sockets.h"
+#include "persimmonquay/traffic/request_fingerprint.h"
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <boost/beast/http/write.hpp>
 #include <cmath>
 #include <utility>
@@ -72,6 +74,10 @@
 /// reported to other nodes.
 constexpr double FailureRateWeight = 0.05;
 
+std::uint64_t fingerprintOf(const proto::CallRequest &Request) {
+  return requestFingerprint(Request.method(), Request.target(), Request.body());
+}
+
 /// Returns the idle timeout in the Keep-Alive header of a response, if any.
 std::optional<Millis> keepAliveTimeout(const HttpResponse &Response) {
   const std::string_view Text = Response[http::field::keep_alive];
@@ -366,6 +372,10 @@
                          monoNow());
   if (ActiveCall.Connection)
     co_return true;
+  co_return co_await this->openConnection(ActiveCall);
+}
+
+asio::awaitable<bool> UpstreamGate::openConnection(Call &ActiveCall) {
   ActiveCall.Connection =
       std::make_shared<UpstreamConnection>(Tcp::socket(this->Context));
   const std::shared_ptr<UpstreamConnection> Connection = ActiveCall.Connection;
@@ -376,9 +386,30 @@
   if (Error || !Connection->Socket.is_open())
     co_return false;
   configureConnection(Connection->Socket, internal::UpstreamTcpTimeout);
+  this->IsUpstreamDown = false;
   co_return true;
 }
 
+void UpstreamGate::recordCrash() {
+  // An upstream that has announced that it leaves may end at any time.
+  if (this->IsUpstreamDown || !this->Upstream || this->Upstream->draining())
+    return;
+  this->IsUpstreamDown = true;
+  this->UnreachableUntil = monoNow() + internal::UnreachableBackoff;
+  std::vector<std::string> Running;
+  for (const auto &[Ticket, ActiveCall] : this->Calls)
+    if (ActiveCall->IsRunning)
+      Running.push_back(absl::StrCat(
+          ActiveCall->Request.request_id(), "/",
+          hashToHex(internal::fingerprintOf(ActiveCall->Request))));
+  this->Counters.recordUpstreamCrash();
+  logLine(
+      LogLevel::Warning, "upstream ended while it ran calls",
+      {{"instance", this->Upstream->instance()},
+       {"started_unix_ms", std::to_string(this->Upstream->started_unix_ms())},
+       {"calls", absl::StrJoin(Running, ",")}});
+}
+
 HttpRequest UpstreamGate::upstreamRequest(const Call &ActiveCall) const {
   const proto::CallRequest &Request = ActiveCall.Request;
   HttpRequest Result;
@@ -492,37 +523,37 @@
 asio::awaitable<void> UpstreamGate::run(std::shared_ptr<Call> ActiveCall) {
   proto::CallReply Reply;
   std::uint32_t Resent = 0;
-  for (bool SendAgain = true; SendAgain;) {
-    SendAgain = false;
-    if (!co_await this->connect(*ActiveCall)) {
-      this->UnreachableUntil = monoNow() + internal::UnreachableBackoff;
-      if (Resent > 0) {
-        // The call was sent on the connection that broke.
-        Resent = 0;
-        Reply.set_arrived(true);
-        Reply.set_outcome(proto::UNKNOWN);
-        Reply.set_reason("the upstream ended while the call was there");
-        break;
-      }
-      Reply.set_outcome(proto::NOT_RUN);
-      Reply.set_reason("the upstream can't be reached");
-      break;
-    }
-    if (ActiveCall->IsCancelled)
-      break;
+  bool IsConnected = co_await this->connect(*ActiveCall);
+  if (!IsConnected) {
+    this->UnreachableUntil = monoNow() + internal::UnreachableBackoff;
+    Reply.set_outcome(proto::NOT_RUN);
+    Reply.set_reason("the upstream can't be reached");
+  }
+  while (IsConnected && !ActiveCall->IsCancelled) {
     ExchangeResult Result = co_await this->exchange(*ActiveCall);
-    const bool IsBroken = Result.End == ExchangeResult::EndState::Broken &&
-                          !Result.ResponseStarted;
-    SendAgain = IsBroken && Resent == 0 && this->mayResend(*ActiveCall);
-    if (IsBroken && Resent > 0)
+    const bool IsBroken = Result.End == ExchangeResult::EndState::Broken;
+    const bool WantsResend = IsBroken && !Result.ResponseStarted &&
+                             Resent == 0 && this->mayResend(*ActiveCall);
+    if (IsBroken && !Result.ResponseStarted && Resent > 0)
       this->ResendPausedUntil = monoNow() + internal::ResendBackoff;
-    if (SendAgain)
+    // Tells an upstream that has ended from one that has lost a connection. The
+    // new connection replaces the broken one.
+    if (IsBroken && !ActiveCall->IsCancelled) {
+      IsConnected = co_await this->openConnection(*ActiveCall);
+      if (!IsConnected)
+        this->recordCrash();
+    }
+    if (WantsResend && IsConnected) {
       ++Resent;
-    else
-      Reply = this->evaluate(*ActiveCall, std::move(Result));
+      continue;
+    }
+    Reply = this->evaluate(*ActiveCall, std::move(Result));
     // The first attempt may have run even if the upstream rejected the second.
     if (Resent > 0 && Reply.outcome() == proto::NOT_RUN)
       Reply.set_outcome(proto::UNKNOWN);
+    if (IsBroken && IsConnected && !ActiveCall->IsCancelled)
+      this->Pool.release(ActiveCall->Connection, std::nullopt, monoNow());
+    break;
   }
   Reply.set_resent(Resent);
   this->finish(ActiveCall, std::move(Reply));
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -123,6 +123,10 @@
   bool mayResend(const Call &ActiveCall) const;
   /// Takes a pooled connection or opens a new one; returns false on failure.
   asio::awaitable<bool> connect(Call &ActiveCall);
+  /// Opens a new connection for a call; returns false on failure.
+  asio::awaitable<bool> openConnection(Call &ActiveCall);
+  /// Records that the upstream has ended while calls were running there.
+  void recordCrash();
   /// Sends the request and reads the response to it, skipping responses to
   /// other calls.
   asio::awaitable<ExchangeResult> exchange(Call &ActiveCall);
@@ -150,6 +154,9 @@
   std::uint64_t MaxResponseBytes = 4U << 20U;
   /// Calls are rejected until then after a failed connection attempt.
   MonoTime UnreachableUntil;
+  /// Whether the upstream has ended and no connection to it has succeeded
+  /// since.
+  bool IsUpstreamDown = false;
   /// No call is resent until then.
   MonoTime ResendPausedUntil;
   AdmissionQueue Queue{0};
--- a/testing/platform/scripted_upstream.cc
+++ b/testing/platform/scripted_upstream.cc
@@ -71,7 +71,11 @@
       continue;
     Poco::Net::StreamSocket Socket = this->Listener->acceptConnection();
     this->Connections.push_back(Socket);
-    this->Workers.emplace_back([this, Socket] { this->serve(Socket); });
+    this->Workers.emplace_back([this, Socket] {
+      this->serve(Socket);
+      const std::lock_guard<std::mutex> WorkerLock(this->Mutex);
+      std::erase(this->Connections, Socket);
+    });
   }
 }
 
