daemon, traffic: reject requests that crash the upstreams that run them

What callers saw: a request under which three upstreams had ended was sent to upstreams again and again, and each of them ended (BUDGET).

Cause: nothing in the event-driven node remembers that an upstream ended under a request. max_attempts and the retry budget count within one call, but each repetition by a caller, at any node or as a nested call, is a new call. Class of the fault: a bound per call where the damage adds up over calls.

Change: CrashLedger (traffic/, pure) counts crashes by the request's content. Records travel with replies, gossip and comparisons, and those of rejected requests are stored with the node's entry.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -10,6 +10,7 @@
 #include "persimmonquay/daemon/routed_call.h"
 #include "persimmonquay/daemon/upstream_gate.h"
 #include "persimmonquay/rollout/rollout_table.h"
+#include "persimmonquay/traffic/request_fingerprint.h"
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
@@ -61,6 +62,12 @@
 /// Timeout that is assumed for a caller that states none.
 constexpr Millis DefaultCallerTimeout{1000};
 
+std::uint64_t fingerprintOf(const RoutedCall &Call) {
+  const HttpRequest &Message = Call.Request->Message;
+  return requestFingerprint(std::string_view(Message.method_string()),
+                            std::string_view(Message.target()), Message.body());
+}
+
 /// Also covers headers that the Connection header of `Message` names.
 bool isHopByHop(const HttpRequest &Message, std::string_view Name) {
   return isHopByHopHeader(Name) ||
@@ -217,6 +224,8 @@
       RemainingMs <= 0)
     RemainingMs = Call.Route->timeout_ms();
   Call.CallerTimeout = Millis(RemainingMs);
+  if (std::optional<HttpResponse> Rejection = this->rejectCrashing(Call))
+    return Rejection;
   Call.Deadline =
       Now + std::min(Call.CallerTimeout, Millis(Call.Route->timeout_ms()));
   // A caller that retries after a rejection states a shorter timeout than at
@@ -260,6 +269,34 @@
   return std::nullopt;
 }
 
+CrashDecision CallRouter::crashDecision(const RoutedCall &Call) const {
+  if (this->Dependencies.Crashes.empty())
+    return {};
+  return this->Dependencies.Crashes.decide(internal::fingerprintOf(Call),
+                                           wallNow());
+}
+
+std::optional<HttpResponse> CallRouter::rejectCrashing(RoutedCall &Call) {
+  const CrashDecision Decision = this->crashDecision(Call);
+  if (Decision.Verdict != CrashVerdict::Reject)
+    return std::nullopt;
+  return this->Responses.errorResponse(
+      Call, StatusUnavailable, std::string(CrashReason), Decision.RetryAfter);
+}
+
+void CallRouter::recordCrashes(const RoutedCall &Call,
+                               const proto::CallReply &Reply) {
+  CrashLedger &Crashes = this->Dependencies.Crashes;
+  CrashLedger::Records Changed = Crashes.merge(Reply.crashes(), wallNow());
+  if (Reply.outcome() == proto::ANSWERED && !Crashes.empty()) {
+    const CrashLedger::Records Cleared =
+        Crashes.recordAnswer(internal::fingerprintOf(Call));
+    Changed.insert(Changed.end(), Cleared.begin(), Cleared.end());
+  }
+  if (!Changed.empty())
+    this->Dependencies.OnCrashesChanged(Changed);
+}
+
 std::shared_ptr<RouteTarget> CallRouter::nextTarget(RoutedCall &Call,
                                                     Micros *MaxWait) {
   const MonoTime Now = monoNow();
@@ -433,6 +470,7 @@
                                        Now);
   }
   Call.LastReason = Reply.reason();
+  this->recordCrashes(Call, Reply);
   this->Dependencies.Counters.recordAttempt(
       Target.View.isLocal(),
       Reply.outcome() == proto::ANSWERED  ? AttemptOutcome::Answered
@@ -470,6 +508,10 @@
           ? Millis(Reply.retry_after_ms())
           : std::min(Call.RetryAfter,
                      std::max(Millis(Reply.retry_after_ms()), Millis{1}));
+  if (Reply.reason() == CrashReason) {
+    Call.ExcludedNodes.insert(Node);
+    return;
+  }
   if (Reply.retry_after_ms() == 0) {
     Call.ExcludedNodes.insert(Node);
     Target.View.recordUnavailable(Now);
@@ -495,6 +537,8 @@
 }
 
 bool CallRouter::mayRetry(RoutedCall &Call, const proto::CallReply &Reply) {
+  if (this->crashDecision(Call).Verdict == CrashVerdict::Reject)
+    return false;
   if (!Reply.arrived())
     return true;
   const MonoTime Now = monoNow();
--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -10,6 +10,7 @@
 #include "persimmonquay/mesh/route_table.h"
 #include "persimmonquay/mesh/traffic_split.h"
 #include "persimmonquay/traffic/call_placement.h"
+#include "persimmonquay/traffic/crash_ledger.h"
 #include "persimmonquay/traffic/processing_time_estimate.h"
 #include "persimmonquay/traffic/retry_budget.h"
 #include "proto/link.pb.h"
@@ -47,6 +48,10 @@
   UpstreamGate &LocalGate;
   RolloutTable &Rollouts;
   Metrics &Counters;
+  CrashLedger &Crashes;
+  /// Called with records of crashes that have been cleared, or that a reply has
+  /// brought.
+  std::function<void(const CrashLedger::Records &)> OnCrashesChanged;
 };
 
 /// Finds the route of each call, selects upstreams, offers the call to the
@@ -148,6 +153,13 @@
   /// and in the metrics.
   void recordReply(RoutedCall &Call, RouteTarget &Target,
                    const proto::CallReply &Reply);
+  /// Returns an error response if upstreams have crashed while they ran the
+  /// same request, so that it must not run.
+  std::optional<HttpResponse> rejectCrashing(RoutedCall &Call);
+  /// Returns whether the call's request is known to crash upstreams.
+  CrashDecision crashDecision(const RoutedCall &Call) const;
+  /// Updates what is known of crashes from a reply to the call.
+  void recordCrashes(const RoutedCall &Call, const proto::CallReply &Reply);
   /// Updates the estimates of processing times and response sizes.
   void recordSuccess(const RoutedCall &Call, const proto::CallReply &Reply);
   /// Returns the state of a service; creates it on first use.
--- a/persimmonquay/daemon/daemon_test.cc
+++ b/persimmonquay/daemon/daemon_test.cc
@@ -119,7 +119,8 @@
 TEST_CASE("an admission check does not submit the call") {
   asio::io_context Context;
   Metrics Counters;
-  UpstreamGate Gate(Context, HeaderNames{}, Tcp::endpoint(), Counters);
+  CrashLedger Crashes;
+  UpstreamGate Gate(Context, HeaderNames{}, Tcp::endpoint(), Counters, Crashes);
   proto::CallRequest Request;
   Request.set_only_ask(true);
   Request.set_id(7);
@@ -161,8 +162,9 @@
   Tcp::acceptor Acceptor(Context,
                          Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
   Metrics Counters;
-  UpstreamGate Gate(Context, HeaderNames{}, Acceptor.local_endpoint(),
-                    Counters);
+  CrashLedger Crashes;
+  UpstreamGate Gate(Context, HeaderNames{}, Acceptor.local_endpoint(), Counters,
+                    Crashes);
   proto::UpstreamEntry Upstream;
   Upstream.set_service("gallery");
   Upstream.set_instance("i-1");
--- a/persimmonquay/daemon/gossip.cc
+++ b/persimmonquay/daemon/gossip.cc
@@ -4,6 +4,7 @@
 #include "persimmonquay/base/logging.h"
 #include "persimmonquay/fleet/node_directory.h"
 #include "persimmonquay/rollout/rollout_table.h"
+#include "persimmonquay/traffic/crash_ledger.h"
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <map>
@@ -34,16 +35,20 @@
 /// departed nodes in each interval, at most.
 constexpr std::size_t InvitationsPerInterval = 4;
 
+/// Number of crashes in one datagram; about 1 kB.
+constexpr std::size_t MaxCrashesPerDatagram = 36;
+
 /// Size up to which datagrams are not fragmented on common network paths.
 constexpr std::size_t MaxDatagramBytes = 1300;
 
 } // namespace internal
 
 Gossip::Gossip(asio::io_context &IoContext, NodeDirectory &KnownNodes,
-               RolloutTable &KnownRollouts, Callbacks NodeCallbacks)
+               RolloutTable &KnownRollouts, CrashLedger &KnownCrashes,
+               Callbacks NodeCallbacks)
     : Context(IoContext), Directory(KnownNodes), Rollouts(KnownRollouts),
-      Callback(std::move(NodeCallbacks)), Socket(IoContext),
-      CompareTimer(IoContext),
+      Crashes(KnownCrashes), Callback(std::move(NodeCallbacks)),
+      Socket(IoContext), CompareTimer(IoContext),
       RandomEngine(hashBytes(KnownNodes.ownEntry().node(),
                              KnownNodes.ownEntry().boot())) {}
 
@@ -107,6 +112,7 @@
 void Gossip::compareWith(const proto::NodeEntry &Node) {
   proto::GossipMessage Message = this->makeMessage();
   Message.set_directory_hash(this->Directory.hash());
+  Message.set_crash_hash(this->Crashes.hash());
   Message.set_wants_difference(true);
   this->send(Message, Node);
 }
@@ -117,6 +123,40 @@
   this->broadcast(Message);
 }
 
+void Gossip::broadcastCrashes(const std::vector<proto::CrashRecord> &Records) {
+  proto::GossipMessage Message = this->makeMessage();
+  for (const proto::CrashRecord &Record : Records)
+    if (Message.crashes_size() <
+        static_cast<int>(internal::MaxCrashesPerDatagram))
+      *Message.add_crashes() = Record;
+  this->broadcast(Message);
+  this->CrashesToRepeat.assign(Message.crashes().begin(),
+                               Message.crashes().end());
+  this->AnnouncementsToRepeat = internal::RepeatedAnnouncements;
+}
+
+std::vector<proto::CrashRecord>
+Gossip::mergeCrashes(const proto::GossipMessage &Message) {
+  std::vector<proto::CrashRecord> NewCrashes =
+      this->Crashes.merge(Message.crashes(), wallNow());
+  // One of the two nodes lacks crashes that the other one knows. The reply to a
+  // comparison is answered once, so that both get them.
+  if ((Message.wants_difference() || Message.is_crash_reply()) &&
+      Message.crash_hash() != this->Crashes.hash())
+    this->sendCrashes(Message.sender(), Message.wants_difference());
+  return NewCrashes;
+}
+
+void Gossip::sendCrashes(const proto::NodeEntry &Recipient, bool IsReply) {
+  proto::GossipMessage Message = this->makeMessage();
+  for (const proto::CrashRecord &Record :
+       this->Crashes.mostImportant(internal::MaxCrashesPerDatagram))
+    *Message.add_crashes() = Record;
+  Message.set_crash_hash(this->Crashes.hash());
+  Message.set_is_crash_reply(IsReply);
+  this->send(Message, Recipient);
+}
+
 void Gossip::sendTallies(const std::string &DriverNode,
                          const std::vector<proto::RolloutTally> &Tallies) {
   const proto::NodeEntry *Recipient = this->Directory.find(DriverNode);
@@ -166,8 +206,13 @@
   if (!UpdatedEntries.empty())
     this->Callback.OnDirectoryChanged();
   this->announceToNewNodes();
+  const std::vector<proto::CrashRecord> NewCrashes =
+      this->mergeCrashes(Message);
   if (Message.relay())
-    this->relay(Message, UpdatedEntries);
+    this->relay(Message, UpdatedEntries, NewCrashes);
+  else if (Message.sender().data_centre() !=
+           this->Directory.ownEntry().data_centre())
+    this->relay({}, {}, NewCrashes);
   if (Message.follows_store())
     this->StoreFollowers.insert(Message.sender().node());
   else
@@ -201,12 +246,17 @@
 }
 
 void Gossip::relay(const proto::GossipMessage &Received,
-                   const std::vector<proto::NodeEntry> &UpdatedEntries) {
+                   const std::vector<proto::NodeEntry> &UpdatedEntries,
+                   const std::vector<proto::CrashRecord> &NewCrashes) {
   proto::GossipMessage Message = this->makeMessage();
   for (const proto::NodeEntry &Entry : UpdatedEntries)
     *Message.add_entries() = Entry;
+  for (const proto::CrashRecord &Record : NewCrashes)
+    *Message.add_crashes() = Record;
   *Message.mutable_rollouts() = Received.rollouts();
-  if (Message.entries_size() + Message.rollouts_size() > 0)
+  if (Message.entries_size() + Message.rollouts_size() +
+          Message.crashes_size() >
+      0)
     this->sendLocally(Message);
 }
 
@@ -263,9 +313,16 @@
       continue;
     this->compareOnce(Round);
     if (std::exchange(this->AnnouncementsToRepeat,
-                      std::max(this->AnnouncementsToRepeat - 1, 0)) > 0)
-      this->sendToRemoteDataCentres(this->makeMessage());
+                      std::max(this->AnnouncementsToRepeat - 1, 0)) > 0) {
+      proto::GossipMessage Message = this->makeMessage();
+      for (const proto::CrashRecord &Record : this->CrashesToRepeat)
+        *Message.add_crashes() = Record;
+      this->sendToRemoteDataCentres(std::move(Message));
+    } else {
+      this->CrashesToRepeat.clear();
+    }
     this->Directory.removeDepartedNodes(monoNow());
+    this->Crashes.expire(wallNow());
   }
 }
 
--- a/persimmonquay/daemon/gossip.h
+++ b/persimmonquay/daemon/gossip.h
@@ -14,10 +14,12 @@
 
 namespace persimmonquay {
 
+class CrashLedger;
 class NodeDirectory;
 class RolloutTable;
 
-/// Spreads the entries of nodes and the progress of rollouts.
+/// Spreads the entries of nodes, the progress of rollouts, and crashes of
+/// upstreams that are attributed to requests.
 ///
 /// A change is sent at once to every node of the local data centre and to one
 /// node of each other data centre, which relays it there, since traffic between
@@ -45,7 +47,8 @@
   };
 
   Gossip(asio::io_context &IoContext, NodeDirectory &KnownNodes,
-         RolloutTable &KnownRollouts, Callbacks NodeCallbacks);
+         RolloutTable &KnownRollouts, CrashLedger &KnownCrashes,
+         Callbacks NodeCallbacks);
 
   // Commands.
 
@@ -67,6 +70,10 @@
   /// Sends the progress of a rollout to all known nodes.
   void broadcastProgress(const proto::RolloutProgress &Progress);
 
+  /// Sends records of crashes to all known nodes, and to other data centres a
+  /// few more times with the next comparisons.
+  void broadcastCrashes(const std::vector<proto::CrashRecord> &Records);
+
   /// Sends counts of calls to `DriverNode`, the node that decides on a rollout.
   void sendTallies(const std::string &DriverNode,
                    const std::vector<proto::RolloutTally> &Tallies);
@@ -106,7 +113,14 @@
   void handleMessage(const proto::GossipMessage &Message);
   void compareWith(const proto::NodeEntry &Node);
   void relay(const proto::GossipMessage &Received,
-             const std::vector<proto::NodeEntry> &UpdatedEntries);
+             const std::vector<proto::NodeEntry> &UpdatedEntries,
+             const std::vector<proto::CrashRecord> &NewCrashes);
+  /// Merges the crashes of a message; returns those that are new.
+  std::vector<proto::CrashRecord>
+  mergeCrashes(const proto::GossipMessage &Message);
+  /// Sends the most important crashes that are known. `IsReply` says whether
+  /// this replies to a comparison.
+  void sendCrashes(const proto::NodeEntry &Recipient, bool IsReply);
   void sendSummary(const proto::NodeEntry &Recipient);
   void replyToSummary(const proto::GossipMessage &Summary);
   void sendEntries(const proto::NodeEntry &Recipient,
@@ -122,6 +136,7 @@
   asio::io_context &Context;
   NodeDirectory &Directory;
   RolloutTable &Rollouts;
+  CrashLedger &Crashes;
   Callbacks Callback;
   Udp::socket Socket;
   asio::steady_timer CompareTimer;
@@ -138,6 +153,8 @@
   std::size_t AnnouncedNodes = 0;
   int FastComparisonsLeft = 0;
   int AnnouncementsToRepeat = 0;
+  /// Crashes to repeat with the next announcements to other data centres.
+  std::vector<proto::CrashRecord> CrashesToRepeat;
   bool Stopped = false;
 };
 
--- a/persimmonquay/daemon/gossip_test.cc
+++ b/persimmonquay/daemon/gossip_test.cc
@@ -1,6 +1,7 @@
 #include "persimmonquay/daemon/gossip.h"
 #include "persimmonquay/fleet/node_directory.h"
 #include "persimmonquay/rollout/rollout_table.h"
+#include "persimmonquay/traffic/crash_ledger.h"
 #include <doctest/doctest.h>
 #include <memory>
 
@@ -13,7 +14,7 @@
   GossipNode(asio::io_context &Context, const std::string &Name,
              const std::string &DataCentre, std::uint64_t Boot = 100)
       : Directory(Name, Boot),
-        Node(Context, this->Directory, this->Rollouts,
+        Node(Context, this->Directory, this->Rollouts, this->Crashes,
              Gossip::Callbacks{[] {}, [](const std::string &, std::uint64_t) {},
                                [](const proto::RolloutProgress &) {},
                                [](const proto::RolloutTally &) {}}) {
@@ -79,6 +80,7 @@
 
   NodeDirectory Directory;
   RolloutTable Rollouts;
+  CrashLedger Crashes;
   Gossip Node;
   Udp::endpoint Address;
 };
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -51,6 +51,13 @@
 constexpr Millis StoredEntryTimeout{500};
 constexpr Millis StoredEntryCheckInterval{10};
 
+/// Log messages for a store that doesn't confirm this node's entry in time.
+constexpr char DepartureNotStored[] = "departure of upstream not stored yet";
+constexpr char CrashesNotStored[] = "crashes of upstream not stored yet";
+
+/// Number of crashes in the stored entry; those of a few requests.
+constexpr std::size_t MaxStoredCrashes = 16;
+
 /// Interval at which the lag of the event loop is measured and buffered log
 /// lines are written.
 constexpr Millis LoopMeasureInterval{250};
@@ -151,8 +158,8 @@
       WriteEntry(Setup.WriteEntry),
       Directory(Setup.Settings.node(),
                 static_cast<std::uint64_t>(unixMillis(wallNow()))),
-      Gate(Setup.Context, Setup.Names, Setup.UpstreamAddress,
-           this->NodeMetrics),
+      Gate(Setup.Context, Setup.Names, Setup.UpstreamAddress, this->NodeMetrics,
+           this->Crashes),
       ConfigSync(Setup.Context,
                  ConfigurationSync::Callbacks{
                      [this](std::shared_ptr<const RouteTable> Routes,
@@ -172,11 +179,14 @@
                           Millis(static_cast<std::int64_t>(
                               Setup.Settings.retry_budget_window_s() * 1000))},
               internal::frameLimits(Setup.Settings), this->Gate, this->Rollouts,
-              this->NodeMetrics},
+              this->NodeMetrics, this->Crashes,
+              [this](const CrashLedger::Records &Changed) {
+                this->NodeGossip.broadcastCrashes(Changed);
+              }},
           [this](proto::LinkFrame Frame) {
             this->ConfigSync.handleFrame(std::move(Frame));
           }),
-      NodeGossip(Setup.Context, this->Directory, this->Rollouts,
+      NodeGossip(Setup.Context, this->Directory, this->Rollouts, this->Crashes,
                  Gossip::Callbacks{
                      [this] { this->handleDirectoryChange(); },
                      [this](const std::string &Node, std::uint64_t Version) {
@@ -202,6 +212,9 @@
       static_cast<std::uint32_t>(this->Settings.link_mbps()));
   this->Directory.setOwnEntry(std::move(OwnEntry));
   this->Router.updateNodes(this->Directory);
+  this->Gate.setCrashHandler([this](const CrashLedger::Records &Attributed) {
+    this->handleCrash(Attributed);
+  });
   this->Gate.setMaxResponseBytes(
       internal::memoryShare(this->Settings, internal::MaxResponseMemoryShare));
 }
@@ -345,16 +358,39 @@
   this->HasStoredEntries = true;
   const MonoTime Now = monoNow();
   std::vector<proto::NodeEntry> UpdatedEntries;
-  for (const proto::NodeEntry &Entry : Entries)
+  for (proto::NodeEntry Entry : Entries) {
+    this->Crashes.merge(Entry.crashes(), wallNow());
+    Entry.clear_crashes();
     if (this->Directory.merge(Entry, Now) ==
         NodeDirectory::MergeResult::Updated)
       UpdatedEntries.push_back(Entry);
+  }
   if (UpdatedEntries.empty())
     return;
   this->handleDirectoryChange();
   this->NodeGossip.join(UpdatedEntries);
 }
 
+void MeshNode::handleCrash(const CrashLedger::Records &Attributed) {
+  this->NodeGossip.broadcastCrashes(Attributed);
+  const WallTime Now = wallNow();
+  const bool IsRejected = std::any_of(
+      Attributed.begin(), Attributed.end(),
+      [this, Now](const proto::CrashRecord &Record) {
+        return this->Crashes.decide(Record.fingerprint(), Now).Verdict ==
+               CrashVerdict::Reject;
+      });
+  if (!IsRejected)
+    return;
+  for (const proto::CrashRecord &Record : Attributed)
+    logLine(LogLevel::Warning, "request is rejected for the crashes it caused",
+            {{"fingerprint", hashToHex(Record.fingerprint())}});
+  asio::co_spawn(
+      this->Context,
+      [this] { return this->storeEntry(internal::CrashesNotStored); },
+      asio::detached);
+}
+
 void MeshNode::handleDirectoryChange() {
   this->Router.updateNodes(this->Directory);
 }
@@ -370,10 +406,14 @@
     Result.clear_upstream();
   for (const proto::DepartedUpstream &Departure : this->Registry.departures())
     *Result.add_departed_upstreams() = Departure;
+  for (const proto::CrashRecord &Record :
+       this->Crashes.rejected(internal::MaxStoredCrashes, wallNow()))
+    *Result.add_crashes() = Record;
   return Result;
 }
 
 void MeshNode::restoreOwnEntry(const proto::NodeEntry &Stored) {
+  this->Crashes.merge(Stored.crashes(), wallNow());
   if (this->Registry.restoreDepartures(Stored.departed_upstreams()))
     this->handleUpstreamChange();
   if (!Stored.has_upstream())
@@ -432,7 +472,7 @@
   if (this->Registry.apply(Received, monoNow()))
     this->handleUpstreamChange();
   if (Received.Draining)
-    co_await this->storeDepartures();
+    co_await this->storeEntry(internal::DepartureNotStored);
 }
 
 asio::awaitable<void>
@@ -450,16 +490,16 @@
            {"outcome", Changed ? "withdrawn" : "was not in use"}});
   if (Changed)
     this->handleUpstreamChange();
-  co_await this->storeDepartures();
+  co_await this->storeEntry(internal::DepartureNotStored);
 }
 
-asio::awaitable<void> MeshNode::storeDepartures() {
+asio::awaitable<void> MeshNode::storeEntry(std::string FailureMessage) {
   if (!this->WriteEntry)
     co_return;
   const absl::Status Result =
       co_await this->WriteEntry(internal::DepartureStoreTimeout);
   if (!Result.ok())
-    logLine(LogLevel::Warning, "departure of upstream not stored yet",
+    logLine(LogLevel::Warning, FailureMessage,
             {{"error", std::string(Result.message())}});
 }
 
@@ -537,6 +577,9 @@
           .count());
   Gauges.setGauge("pq_nodes", "Nodes known, this one included",
                   static_cast<double>(this->Directory.entries().size()));
+  Gauges.setGauge("pq_crash_records",
+                  "Crashes of upstreams that are attributed to requests",
+                  static_cast<double>(this->Crashes.size()));
   Gauges.setGauge("pq_following", "Whether this node follows the store",
                   this->FollowsStore ? 1 : 0);
   Gauges.setGauge("pq_rollouts", "Orders to bring in a version that are known",
--- a/persimmonquay/daemon/mesh_node.h
+++ b/persimmonquay/daemon/mesh_node.h
@@ -15,6 +15,7 @@
 #include "persimmonquay/fleet/node_directory.h"
 #include "persimmonquay/fleet/upstream_registry.h"
 #include "persimmonquay/rollout/rollout_table.h"
+#include "persimmonquay/traffic/crash_ledger.h"
 #include "proto/mesh.pb.h"
 #include "proto/sidecar.pb.h"
 #include <absl/status/status.h>
@@ -135,13 +136,17 @@
   /// known, so that a late heartbeat can't bring back an upstream whose
   /// departure that run has confirmed.
   asio::awaitable<void> awaitStoredEntry();
-  /// Waits for a limited time until the departures of upstreams are stored.
-  asio::awaitable<void> storeDepartures();
+  /// Stores this node's entry; waits for a limited time. Logs `FailureMessage`
+  /// if it has not been stored by then.
+  asio::awaitable<void> storeEntry(std::string FailureMessage);
   void checkStoredUpstream();
   asio::awaitable<void> restoreIfSameInstance(std::string HealthPath);
   void handleUpstreamChange();
   void updateOwnEntry();
   void handleDirectoryChange();
+  /// Spreads crashes that this node has seen, and stores those for which
+  /// requests are rejected.
+  void handleCrash(const CrashLedger::Records &Attributed);
   void handleAppliedConfiguration(std::shared_ptr<const RouteTable> Routes,
                                   bool FetchedRemotely);
   void handlePeerVersion(const std::string &Node, std::uint64_t Version);
@@ -164,6 +169,7 @@
   /// The stored entry of the upstream, until it has been checked.
   std::optional<proto::UpstreamEntry> StoredUpstream;
   RolloutTable Rollouts;
+  CrashLedger Crashes;
   UpstreamGate Gate;
   ConfigurationSync ConfigSync;
   CallRouter Router;
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -70,6 +70,9 @@
 /// other calls are not limited.
 constexpr double SuccessLogLinesPerSecond = 2;
 
+/// Number of suspects of a crash that wait for the end of another one.
+constexpr std::size_t MaxHeldSuspects = 16;
+
 /// Weight of one result in the moving average of the failure rate that is
 /// reported to other nodes.
 constexpr double FailureRateWeight = 0.05;
@@ -126,12 +129,13 @@
 
 UpstreamGate::UpstreamGate(asio::io_context &IoContext,
                            HeaderNames UpstreamHeaders,
-                           Tcp::endpoint UpstreamAddress, Metrics &NodeCounters)
+                           Tcp::endpoint UpstreamAddress, Metrics &NodeCounters,
+                           CrashLedger &KnownCrashes)
     : Context(IoContext), Counters(NodeCounters),
       SuccessLogLimit(internal::SuccessLogLinesPerSecond,
                       internal::SuccessLogLinesPerSecond),
       Headers(std::move(UpstreamHeaders)), Address(std::move(UpstreamAddress)),
-      ExpiryTimer(IoContext) {}
+      Crashes(KnownCrashes), ExpiryTimer(IoContext) {}
 
 UpstreamGate::~UpstreamGate() = default;
 
@@ -163,12 +167,12 @@
 
 QueuedCall UpstreamGate::queuedCall(std::uint64_t Ticket,
                                     const proto::CallRequest &Request,
-                                    MonoTime Now) const {
+                                    MonoTime Arrival) const {
   const ProcessingTimeEstimate Expected = this->expectedProcessingTime(Request);
   return {Ticket,
           Request.priority(),
-          Now + Millis(Request.objective_ms()),
-          Now + Millis(Request.remaining_ms()),
+          Arrival + Millis(Request.objective_ms()),
+          Arrival + Millis(Request.remaining_ms()),
           Expected.mean(),
           Expected.upper()};
 }
@@ -206,15 +210,23 @@
   NewCall->Request = std::move(Request);
   const std::uint64_t Ticket = NewCall->Ticket;
   this->Calls[Ticket] = NewCall;
+  this->admit(NewCall, Millis(NewCall->Request.max_wait_ms()));
+  return Ticket;
+}
+
+void UpstreamGate::admit(const std::shared_ptr<Call> &NewCall, Micros MaxWait) {
+  const std::uint64_t Ticket = NewCall->Ticket;
+  const MonoTime Now = monoNow();
   if (const std::optional<std::string> Reason =
           this->unavailableReason(NewCall->Request)) {
     this->reject({Ticket, *Reason, Micros{0}});
-    return Ticket;
+    return;
   }
-  const proto::CallRequest &OfferedRequest = NewCall->Request;
-  const Admission Result =
-      this->Queue.offer(this->queuedCall(Ticket, OfferedRequest, Now),
-                        Millis(OfferedRequest.max_wait_ms()), Now);
+  if (!this->Crashes.empty() && !this->passesCrashCheck(NewCall, MaxWait))
+    return;
+  const Admission Result = this->Queue.offer(
+      this->queuedCall(Ticket, NewCall->Request, NewCall->ArrivalTime), MaxWait,
+      Now);
   this->rejectAll(Result.Displaced);
   if (Result.Verdict == AdmissionVerdict::Reject)
     this->reject(Result.Rejection);
@@ -223,7 +235,51 @@
   else
     this->Counters.recordGateAction(GateAction::Waited);
   this->armExpiryTimer();
-  return Ticket;
+}
+
+bool UpstreamGate::passesCrashCheck(const std::shared_ptr<Call> &NewCall,
+                                    Micros MaxWait) {
+  const CrashDecision Decision = this->Crashes.decide(
+      internal::fingerprintOf(NewCall->Request), wallNow());
+  if (Decision.Verdict == CrashVerdict::Run)
+    return true;
+  if (Decision.Verdict == CrashVerdict::Reject) {
+    this->reject({NewCall->Ticket, CrashReason, Decision.RetryAfter});
+    return false;
+  }
+  if (!this->ActiveSuspect) {
+    this->ActiveSuspect = NewCall->Ticket;
+    return true;
+  }
+  const Micros Wait = this->expectedProcessingTime(NewCall->Request).mean() *
+                      static_cast<std::int64_t>(this->HeldSuspects.size() + 1);
+  if (Wait > MaxWait ||
+      this->HeldSuspects.size() >= internal::MaxHeldSuspects) {
+    this->reject({NewCall->Ticket, BusyReason, Wait});
+    return false;
+  }
+  this->HeldSuspects.push_back(NewCall->Ticket);
+  this->Counters.recordGateAction(GateAction::Waited);
+  return false;
+}
+
+void UpstreamGate::releaseSuspect(std::uint64_t Ticket) {
+  if (this->ActiveSuspect != Ticket) {
+    std::erase(this->HeldSuspects, Ticket);
+    return;
+  }
+  this->ActiveSuspect.reset();
+  while (!this->ActiveSuspect && !this->HeldSuspects.empty()) {
+    const auto Next = this->Calls.find(this->HeldSuspects.front());
+    this->HeldSuspects.pop_front();
+    if (Next == this->Calls.end())
+      continue;
+    const std::shared_ptr<Call> Held = Next->second;
+    const auto Waited =
+        std::chrono::duration_cast<Micros>(monoNow() - Held->ArrivalTime);
+    this->admit(Held, std::max(Millis(Held->Request.max_wait_ms()) - Waited,
+                               Micros{0}));
+  }
 }
 
 void UpstreamGate::cancel(std::uint64_t Ticket) {
@@ -239,6 +295,7 @@
   if (!ActiveCall->IsRunning) {
     this->Queue.cancel(Ticket);
     this->Calls.erase(Found);
+    this->releaseSuspect(Ticket);
     return;
   }
   ErrorCode IgnoredError;
@@ -255,11 +312,12 @@
     this->Pool.closeAll();
     this->ProcessingTimes.clear();
     this->FailureRate = 0;
+    this->IsUpstreamDown = false;
   }
   this->Upstream = std::move(Entry);
   this->UnreachableUntil = MonoTime{};
   if (!this->Upstream || this->Upstream->draining())
-    this->rejectAll(this->Queue.clear("the upstream drains"));
+    this->rejectWaiting("the upstream drains");
   else
     this->Queue.resize(this->Upstream->slots());
   this->startQueuedCalls();
@@ -267,7 +325,13 @@
 
 void UpstreamGate::stopAdmitting() {
   this->Stopping = true;
-  this->rejectAll(this->Queue.clear("the node stops"));
+  this->rejectWaiting("the node stops");
+}
+
+void UpstreamGate::rejectWaiting(std::string_view Reason) {
+  this->rejectAll(this->Queue.clear(Reason));
+  for (const std::uint64_t Ticket : std::exchange(this->HeldSuspects, {}))
+    this->reject({Ticket, Reason, Micros{0}});
 }
 
 bool UpstreamGate::hasRunningCallWithDeadline(MonoTime Deadline) const {
@@ -315,7 +379,17 @@
   Reply.set_reason(std::string(Rejection.Reason));
   Reply.set_retry_after_ms(static_cast<std::uint32_t>(
       std::chrono::duration_cast<Millis>(Rejection.RetryAfter).count()));
+  if (Rejection.Reason == CrashReason)
+    this->addCrashes(*ActiveCall, Reply);
   this->reply(*ActiveCall, std::move(Reply));
+  this->releaseSuspect(Rejection.Id);
+}
+
+void UpstreamGate::addCrashes(const Call &ActiveCall,
+                              proto::CallReply &Reply) const {
+  for (const proto::CrashRecord &Record :
+       this->Crashes.recordsOf(internal::fingerprintOf(ActiveCall.Request)))
+    *Reply.add_crashes() = Record;
 }
 
 void UpstreamGate::rejectAll(const std::vector<RejectedCall> &Rejections) {
@@ -396,12 +470,19 @@
     return;
   this->IsUpstreamDown = true;
   this->UnreachableUntil = monoNow() + internal::UnreachableBackoff;
-  std::vector<std::string> Running;
-  for (const auto &[Ticket, ActiveCall] : this->Calls)
-    if (ActiveCall->IsRunning)
-      Running.push_back(absl::StrCat(
-          ActiveCall->Request.request_id(), "/",
-          hashToHex(internal::fingerprintOf(ActiveCall->Request))));
+  std::vector<std::uint64_t> Running;
+  std::vector<std::string> RunningIds;
+  for (const auto &[Ticket, ActiveCall] : this->Calls) {
+    if (!ActiveCall->IsRunning)
+      continue;
+    Running.push_back(internal::fingerprintOf(ActiveCall->Request));
+    RunningIds.push_back(absl::StrCat(ActiveCall->Request.request_id(), "/",
+                                      hashToHex(Running.back())));
+  }
+  const std::uint64_t Crash =
+      hashBytes(this->Upstream->instance(), this->Upstream->started_unix_ms());
+  const CrashLedger::Records Attributed =
+      this->Crashes.recordCrash(Running, Crash, wallNow());
   this->Counters.recordUpstreamCrash();
   logLine(
       LogLevel::Warning, "upstream ended while it ran calls",
@@ -548,6 +629,8 @@
       continue;
     }
     Reply = this->evaluate(*ActiveCall, std::move(Result));
+    if (!IsConnected)
+      this->addCrashes(*ActiveCall, Reply);
     // The first attempt may have run even if the upstream rejected the second.
     if (Resent > 0 && Reply.outcome() == proto::NOT_RUN)
       Reply.set_outcome(proto::UNKNOWN);
@@ -651,6 +734,7 @@
                           proto::CallReply Reply) {
   this->Queue.finish(ActiveCall->Ticket);
   this->Calls.erase(ActiveCall->Ticket);
+  this->releaseSuspect(ActiveCall->Ticket);
   this->recordResult(*ActiveCall, Reply);
   this->logEnd(*ActiveCall, Reply);
   Reply.set_work_us(static_cast<std::uint32_t>(
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -9,8 +9,10 @@
 #include "persimmonquay/daemon/header_names.h"
 #include "persimmonquay/daemon/upstream_connection_pool.h"
 #include "persimmonquay/traffic/admission_queue.h"
+#include "persimmonquay/traffic/crash_ledger.h"
 #include "persimmonquay/traffic/processing_time_estimate.h"
 #include "proto/link.pb.h"
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -40,9 +42,11 @@
 public:
   using ReplyHandler = std::function<void(proto::CallReply)>;
   using ResultHandler = std::function<void(const UpstreamCallResult &)>;
+  using CrashHandler = std::function<void(const CrashLedger::Records &)>;
 
   UpstreamGate(asio::io_context &IoContext, HeaderNames UpstreamHeaders,
-               Tcp::endpoint UpstreamAddress, Metrics &NodeCounters);
+               Tcp::endpoint UpstreamAddress, Metrics &NodeCounters,
+               CrashLedger &KnownCrashes);
   UpstreamGate(const UpstreamGate &) = delete;
   UpstreamGate &operator=(const UpstreamGate &) = delete;
   ~UpstreamGate();
@@ -76,6 +80,12 @@
     this->OnResult = std::move(Handler);
   }
 
+  /// Sets the handler that is called with the records of a crash of the
+  /// upstream.
+  void setCrashHandler(CrashHandler Handler) {
+    this->OnCrash = std::move(Handler);
+  }
+
   // Queries.
 
   /// Returns whether a call with about this deadline is running at the
@@ -103,7 +113,15 @@
   ProcessingTimeEstimate
   expectedProcessingTime(const proto::CallRequest &) const;
   QueuedCall queuedCall(std::uint64_t Ticket, const proto::CallRequest &Request,
-                        MonoTime Now) const;
+                        MonoTime Arrival) const;
+  /// Starts, queues, holds or rejects a call that may wait for `MaxWait`.
+  void admit(const std::shared_ptr<Call> &NewCall, Micros MaxWait);
+  /// Decides whether a call may be admitted although upstreams have crashed
+  /// while they ran the same request. Returns false if it has been rejected or
+  /// waits for the end of another such call.
+  bool passesCrashCheck(const std::shared_ptr<Call> &NewCall, Micros MaxWait);
+  /// Lets the next suspect run if the call was the one that ran.
+  void releaseSuspect(std::uint64_t Ticket);
   /// Starts an admitted call.
   void start(std::uint64_t Ticket);
   /// Rejects queued calls that have expired and starts queued calls in free
@@ -111,6 +129,10 @@
   void startQueuedCalls();
   void reject(const RejectedCall &Rejection);
   void rejectAll(const std::vector<RejectedCall> &Rejections);
+  /// Rejects all calls that are not running.
+  void rejectWaiting(std::string_view Reason);
+  /// Adds the crashes that are attributed to the call's request.
+  void addCrashes(const Call &ActiveCall, proto::CallReply &Reply) const;
   /// Sends a reply with the current load unless the call is cancelled.
   void reply(Call &ActiveCall, proto::CallReply Reply);
   /// Sets the timer for the next expiry of a queued call.
@@ -125,7 +147,7 @@
   asio::awaitable<bool> connect(Call &ActiveCall);
   /// Opens a new connection for a call; returns false on failure.
   asio::awaitable<bool> openConnection(Call &ActiveCall);
-  /// Records that the upstream has ended while calls were running there.
+  /// Attributes the end of the upstream to calls that were running there.
   void recordCrash();
   /// Sends the request and reads the response to it, skipping responses to
   /// other calls.
@@ -159,6 +181,11 @@
   bool IsUpstreamDown = false;
   /// No call is resent until then.
   MonoTime ResendPausedUntil;
+  CrashLedger &Crashes;
+  /// Of the suspects of a crash, the one that runs or waits for a slot.
+  std::optional<std::uint64_t> ActiveSuspect;
+  /// The suspects that wait for its end.
+  std::deque<std::uint64_t> HeldSuspects;
   AdmissionQueue Queue{0};
   UpstreamConnectionPool Pool;
   std::map<std::uint64_t, std::shared_ptr<Call>> Calls;
@@ -169,6 +196,7 @@
   std::uint64_t NextTicket = 1;
   asio::steady_timer ExpiryTimer;
   ResultHandler OnResult;
+  CrashHandler OnCrash;
 };
 
 } // namespace persimmonquay
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -37,7 +37,7 @@
       : Acceptor(this->Context,
                  Tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
         Gate(this->Context, HeaderNames{}, this->Acceptor.local_endpoint(),
-             this->Counters) {
+             this->Counters, this->Crashes) {
     proto::UpstreamEntry Upstream;
     Upstream.set_service("gallery");
     Upstream.set_instance("i-1");
@@ -90,6 +90,7 @@
   asio::io_context Context;
   Tcp::acceptor Acceptor;
   Metrics Counters;
+  CrashLedger Crashes;
   UpstreamGate Gate;
   /// By request id; other requests get a proper response.
   std::map<std::string, Script> Scripts;
--- a/testing/platform/crashing_requests_test.cc
+++ b/testing/platform/crashing_requests_test.cc
@@ -2,6 +2,7 @@
 // upstreams that run them.
 #include "testing/platform/small_mesh.h"
 #include <absl/strings/str_cat.h>
+#include <atomic>
 #include <csignal>
 #include <doctest/doctest.h>
 
@@ -21,6 +22,9 @@
 
 constexpr char CrashingPath[] = "/views/crash";
 
+/// While an upstream runs this, it calls `CrashingPath`.
+constexpr char ParentPath[] = "/views/parent";
+
 /// Nodes beside upstreams of "gallery" that crash when they run a request for
 /// `CrashingPath`, and one node beside an upstream of "orders" for callers.
 class CrashingMesh {
@@ -29,15 +33,18 @@
     this->Mesh.add("orders");
     for (int I = 0; I < GalleryCount; ++I) {
       TestNode &Node = this->Mesh.add("gallery");
-      Node.Upstream->setHandler(
-          [Instance = Node.Instance](const ReceivedRequest &Request) {
-            if (Request.Target == "/health")
-              return healthResponse(Instance);
-            if (Request.Target == "/views/slow")
-              std::this_thread::sleep_for(Millis(200));
-            return Request.Target == CrashingPath ? std::string(CrashUpstream)
-                                                  : responseTo(Request);
-          });
+      Node.Upstream->setHandler([this, &Node](const ReceivedRequest &Request) {
+        if (Request.Target == "/health")
+          return healthResponse(Node.Instance);
+        if (Request.Target == ParentPath)
+          return this->callFrom(Node, CrashingPath) == 200
+                     ? responseTo(Request)
+                     : responseTo(Request, 500, "a call failed");
+        if (Request.Target == "/views/slow")
+          std::this_thread::sleep_for(Millis(200));
+        return Request.Target == CrashingPath ? std::string(CrashUpstream)
+                                              : responseTo(Request);
+      });
     }
     this->Mesh.publish(5, "gallery");
     REQUIRE(this->Mesh.waitUntilReady());
@@ -85,13 +92,14 @@
     return Count;
   }
 
-  /// Repeats the crashing request through one node after the other. Upstreams
-  /// are back a short time after each crash.
-  void repeatCrashingRequest(int Times) {
+  /// Repeats the crashing request, or one that leads to it, through one node
+  /// after the other. Upstreams are back a short time after each crash.
+  void repeatCrashingRequest(int Times,
+                             const std::string &Target = CrashingPath) {
     for (int I = 0; I < Times; ++I) {
       const auto &Nodes = this->Mesh.nodes();
       const int Status = this->callFrom(
-          *Nodes[static_cast<std::size_t>(I) % Nodes.size()], CrashingPath);
+          *Nodes[static_cast<std::size_t>(I) % Nodes.size()], Target);
       CHECK(Status >= 500);
       std::this_thread::sleep_for(Millis(100));
       this->restartUpstreams();
@@ -101,7 +109,7 @@
   SmallMesh Mesh;
 
 private:
-  int CallCount = 0;
+  std::atomic<int> CallCount = 0;
 };
 
 } // namespace
@@ -120,6 +128,18 @@
     CHECK(Setup.callFrom(*Node, "/views/2") == 200);
 }
 
+// The request is a call of another one that is harmless itself.
+TEST_CASE("a nested call that crashes upstreams is not repeated without end") {
+  CrashingMesh Setup(6);
+  Setup.repeatCrashingRequest(12, ParentPath);
+  CHECK(Setup.crashCount() >= 1);
+  CHECK(Setup.crashCount() <= MaxCrashes);
+  std::this_thread::sleep_for(PropagationTime);
+  const MonoTime Known = monoNow();
+  Setup.repeatCrashingRequest(12, ParentPath);
+  CHECK(Setup.arrivalsSince(Known) <= MaxLateArrivals);
+}
+
 // A call that had crashed an upstream on a reused connection was reported as
 // not run, and was offered to one upstream after the other.
 TEST_CASE("one call doesn't crash more upstreams than its maximum attempts") {
