traffic, daemon: keep the limit that an upstream names

Cause: nobody read the header. Class of the fault: a fact that an upstream tells in its responses had no place in the admission of calls.

Change: CallPacer, a token bucket in the AdmissionQueue of the upstream's gate, through which all calls pass; waits, rejections and Retry-After follow from it, and its wait rides on replies. Nodes that passed on such a response state the limit in their calls, for a gate that has restarted.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -389,6 +389,8 @@
   Result.set_body(Message.body());
   Result.set_idempotent(Call.Route->idempotent());
   Result.set_configuration_version(Call.Routes->version());
+  Result.set_known_limit_per_s(
+      this->Notices.limit(Target.Entry.upstream(), monoNow()));
   return Result;
 }
 
@@ -468,6 +470,11 @@
         std::chrono::microseconds(Reply.load().wait_us()), Now);
     Target.View.recordFleetFailureRate(Reply.load().failed_permille() / 1000.0,
                                        Now);
+    // A node that has restarted doesn't know the limit until a call has
+    // arrived at the upstream.
+    if (Reply.arrived() || Reply.load().limit_per_s() > 0)
+      this->Notices.recordLimit(Target.Entry.upstream(),
+                                Reply.load().limit_per_s(), Now);
   }
   Call.LastReason = Reply.reason();
   this->recordCrashes(Call, Reply);
--- a/persimmonquay/daemon/header_names.h
+++ b/persimmonquay/daemon/header_names.h
@@ -22,6 +22,9 @@
   std::string RespondingInstance = "x-pq-answering-instance";
   /// In a response: running calls, queued calls and slots of the upstream.
   std::string ServerLoad = "x-pq-load";
+  /// In a response: calls a second that the upstream takes from all nodes
+  /// together, as a decimal number.
+  std::string ServerLimit = "x-pq-limit";
   /// In a response: the upstream did not run the call.
   std::string NotExecuted = "x-pq-not-run";
   /// Service of the host that the call comes from.
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -566,6 +566,10 @@
   Gauges.setGauge("pq_gate_waiting", "Calls that wait for the own upstream",
                   Load.waiting());
   Gauges.setGauge("pq_gate_slots", "Slots of the own upstream", Load.slots());
+  Gauges.setGauge("pq_gate_limit",
+                  "Calls a second that the own upstream takes, 0 if it names "
+                  "no limit",
+                  Load.limit_per_s());
   Gauges.setGauge("pq_configuration_version", "Configuration in force",
                   this->Router.routes()
                       ? static_cast<double>(this->Router.routes()->version())
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -5,6 +5,7 @@
 #include "persimmonquay/daemon/hop_by_hop_headers.h"
 #include "persimmonquay/daemon/metrics.h"
 #include "persimmonquay/daemon/sockets.h"
+#include "persimmonquay/fleet/upstream_notices.h"
 #include "persimmonquay/traffic/request_fingerprint.h"
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -73,6 +74,10 @@
 /// Number of suspects of a crash that wait for the end of another one.
 constexpr std::size_t MaxHeldSuspects = 16;
 
+/// Smallest limit of the upstream in calls a second; messages between nodes use
+/// 0 for no limit.
+constexpr double MinLimit = 0.01;
+
 /// Weight of one result in the moving average of the failure rate that is
 /// reported to other nodes.
 constexpr double FailureRateWeight = 0.05;
@@ -222,6 +227,8 @@
     this->reject({Ticket, *Reason, Micros{0}});
     return;
   }
+  if (!this->HasReadLimit && NewCall->Request.known_limit_per_s() > 0)
+    this->setLimit(NewCall->Request.known_limit_per_s());
   if (!this->Crashes.empty() && !this->passesCrashCheck(NewCall, MaxWait))
     return;
   const Admission Result = this->Queue.offer(
@@ -313,6 +320,8 @@
     this->ProcessingTimes.clear();
     this->FailureRate = 0;
     this->IsUpstreamDown = false;
+    this->HasReadLimit = false;
+    this->setLimit(std::nullopt);
   }
   this->Upstream = std::move(Entry);
   this->UnreachableUntil = MonoTime{};
@@ -352,6 +361,7 @@
       this->Queue.predictedWait(monoNow()).count(), UINT32_MAX)));
   Report.set_failed_permille(
       static_cast<std::uint32_t>(std::lround(this->FailureRate * 1000)));
+  Report.set_limit_per_s(this->Queue.rateLimit().value_or(0));
   return Report;
 }
 
@@ -426,7 +436,9 @@
 }
 
 void UpstreamGate::armExpiryTimer() {
-  const std::optional<MonoTime> Next = this->Queue.nextExpiry();
+  std::optional<MonoTime> Next = this->Queue.nextExpiry();
+  if (const std::optional<MonoTime> Start = this->Queue.nextStart(monoNow()))
+    Next = Next ? std::min(*Next, *Start) : *Start;
   if (!Next) {
     this->ExpiryTimer.cancel();
     return;
@@ -626,6 +638,7 @@
     }
     if (WantsResend && IsConnected) {
       ++Resent;
+      this->Queue.recordResend(monoNow());
       continue;
     }
     Reply = this->evaluate(*ActiveCall, std::move(Result));
@@ -661,6 +674,9 @@
     this->Pool.release(ActiveCall.Connection,
                        internal::keepAliveTimeout(Response), monoNow());
   const unsigned Status = Response.result_int();
+  // 421 comes from another upstream at the same address.
+  if (Status != 421)
+    this->readLimit(Response);
   if (Response.find(this->Headers.NotExecuted) != Response.end() ||
       Status == 421) {
     Reply.set_outcome(proto::NOT_RUN);
@@ -688,6 +704,35 @@
   return Reply;
 }
 
+void UpstreamGate::readLimit(const HttpResponse &Response) {
+  this->HasReadLimit = true;
+  const auto Field = Response.find(this->Headers.ServerLimit);
+  if (Field == Response.end()) {
+    this->setLimit(std::nullopt);
+    return;
+  }
+  double CallsPerSecond = 0;
+  if (absl::SimpleAtod(std::string(Field->value()), &CallsPerSecond) &&
+      std::isfinite(CallsPerSecond) && CallsPerSecond >= 0) {
+    this->setLimit(std::max(CallsPerSecond, internal::MinLimit));
+    return;
+  }
+  logLine(LogLevel::Warning, "limit of the upstream can't be read",
+          {{"instance", this->Upstream ? this->Upstream->instance() : ""},
+           {"limit", std::string(Field->value())}});
+}
+
+void UpstreamGate::setLimit(std::optional<double> CallsPerSecond) {
+  if (CallsPerSecond == this->Queue.rateLimit())
+    return;
+  logLine(LogLevel::Info, "limit of the upstream changed",
+          {{"instance", this->Upstream ? this->Upstream->instance() : ""},
+           {"calls_per_s", CallsPerSecond ? absl::StrCat(*CallsPerSecond)
+                                          : std::string("none")},
+           {"source", this->HasReadLimit ? "upstream" : "caller's node"}});
+  this->Queue.setRateLimit(CallsPerSecond, monoNow());
+}
+
 void UpstreamGate::recordResult(const Call &ActiveCall,
                                 const proto::CallReply &Reply) {
   if (!Reply.arrived() || ActiveCall.IsCancelled)
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -156,6 +156,10 @@
   asio::awaitable<void> readResponse(const Call &ActiveCall,
                                      ExchangeResult &Result);
   HttpRequest upstreamRequest(const Call &ActiveCall) const;
+  /// Adopts the limit that a response of the upstream names, or that it names
+  /// none.
+  void readLimit(const HttpResponse &Response);
+  void setLimit(std::optional<double> CallsPerSecond);
   /// Returns the reply for the result of an exchange, and releases the
   /// connection to the pool if it is reusable.
   proto::CallReply evaluate(const Call &ActiveCall, ExchangeResult Result);
@@ -187,6 +191,9 @@
   /// The suspects that wait for its end.
   std::deque<std::uint64_t> HeldSuspects;
   AdmissionQueue Queue{0};
+  /// Whether the upstream itself has told its limit, or that it has none, since
+  /// this node has known it.
+  bool HasReadLimit = false;
   UpstreamConnectionPool Pool;
   std::map<std::uint64_t, std::shared_ptr<Call>> Calls;
   /// Processing time at the upstream, by route.
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -58,6 +58,7 @@
     Request.set_method(Method);
     Request.set_target("/" + Id);
     Request.set_idempotent(true);
+    Request.set_known_limit_per_s(this->KnownLimit);
     Request.set_objective_ms(400);
     Request.set_max_wait_ms(5000);
     Request.set_remaining_ms(static_cast<std::uint32_t>(Remaining.count()));
@@ -95,6 +96,8 @@
   /// By request id; other requests get a proper response.
   std::map<std::string, Script> Scripts;
   std::map<std::string, proto::CallReply> Replies;
+  /// Limit that the caller's node states in its calls.
+  double KnownLimit = 0;
   int Connections = 0;
   int EndedConnections = 0;
   std::size_t SentBytes = 0;
@@ -305,6 +308,44 @@
   CHECK(Fixture.call("b").body() == "whole");
 }
 
+// Any of these names a limit or none, and none may end the process.
+TEST_CASE("a limit that is no number is ignored, one of zero is applied") {
+  GateFixture Fixture;
+  const auto CallWithLimit = [&Fixture](const std::string &Id,
+                                        const std::string &Limit) {
+    std::string Response = responseTo(Id);
+    Response.insert(Response.find("\r\n") + 2, "x-pq-limit: " + Limit + "\r\n");
+    Fixture.Scripts[Id] = {.Bytes = Response};
+    CHECK(Fixture.call(Id).outcome() == proto::ANSWERED);
+    return Fixture.Gate.load().limit_per_s();
+  };
+  CHECK(CallWithLimit("a", "many") == 0);
+  CHECK(CallWithLimit("b", "-3") == 0);
+  CHECK(CallWithLimit("c", "nan") == 0);
+  CHECK(CallWithLimit("d", "1e999") == 0);
+  CHECK(CallWithLimit("e", "250.5") == doctest::Approx(250.5));
+  CHECK(CallWithLimit("f", "") == doctest::Approx(250.5));
+  CHECK(CallWithLimit("g", "0") > 0);
+  // Named no more. A limit of zero lets a call pass now and then, whose response
+  // tells.
+  Fixture.runFor(Millis(2100));
+  CHECK(Fixture.call("h").outcome() == proto::ANSWERED);
+  CHECK(Fixture.Gate.load().limit_per_s() == 0);
+}
+
+// The gate beside the upstream has restarted; the caller's node remembers.
+TEST_CASE("a limit that a caller's node knows binds until the upstream names "
+          "one itself") {
+  GateFixture Fixture;
+  Fixture.KnownLimit = 4;
+  const MonoTime Start = monoNow();
+  CHECK(Fixture.call("a").outcome() == proto::ANSWERED);
+  CHECK(monoNow() - Start >= Millis(200));
+  CHECK(Fixture.Gate.load().limit_per_s() == 0);
+  CHECK(Fixture.call("b").outcome() == proto::ANSWERED);
+  CHECK(Fixture.Gate.load().limit_per_s() == 0);
+}
+
 // The call may have crashed the upstream; a reply that it has not run would be
 // wrong, and would let it go to one upstream after the other.
 TEST_CASE("a call sent to an upstream that then ended is not reported as not "
--- a/persimmonquay/traffic/admission_queue.cc
+++ b/persimmonquay/traffic/admission_queue.cc
@@ -127,12 +127,13 @@
     auto Earliest = std::min_element(FreeTimes.begin(), FreeTimes.end());
     *Earliest = std::max(*Earliest, Now) + Other->Call.ProcessingTime;
   }
-  return std::max(Now, *std::min_element(FreeTimes.begin(), FreeTimes.end()));
+  return std::max(this->Pacer.startTime(Ahead.size(), Now),
+                  *std::min_element(FreeTimes.begin(), FreeTimes.end()));
 }
 
 Micros AdmissionQueue::predictedWait(const QueuedCall &Call,
                                      MonoTime Now) const {
-  if (this->Running.size() < this->Slots && this->Waiting.empty())
+  if (this->canStartNow(Now))
     return Micros{0};
   const WaitingCall Arriving{Call, Now, this->NextSequence, Now};
   return std::chrono::duration_cast<Micros>(
@@ -192,7 +193,7 @@
 std::optional<RejectedCall> AdmissionQueue::whyRejected(const QueuedCall &Call,
                                                         Micros MaxWait,
                                                         MonoTime Now) const {
-  if (this->canStartNow()) {
+  if (this->canStartNow(Now)) {
     if (Now < Call.Deadline)
       return std::nullopt;
     return RejectedCall{Call.Id, "the deadline has passed",
@@ -218,7 +219,8 @@
     Result.Rejection = *Rejected;
     return Result;
   }
-  if (this->canStartNow()) {
+  if (this->canStartNow(Now)) {
+    this->Pacer.recordSend(Now);
     this->Running.push_back({Call.Id, Now, Call.ProcessingTime});
     return Result;
   }
@@ -238,7 +240,8 @@
 }
 
 std::optional<std::uint64_t> AdmissionQueue::startNext(MonoTime Now) {
-  if (this->Waiting.empty() || this->Running.size() >= this->Slots)
+  if (this->Waiting.empty() || this->Running.size() >= this->Slots ||
+      this->Pacer.startTime(0, Now) > Now)
     return std::nullopt;
   const auto Best = std::min_element(
       this->Waiting.begin(), this->Waiting.end(),
@@ -246,6 +249,7 @@
         return this->precedes(Left, Right, Now);
       });
   const std::uint64_t Id = Best->Call.Id;
+  this->Pacer.recordSend(Now);
   this->Running.push_back({Id, Now, Best->Call.ProcessingTime});
   this->Waiting.erase(Best);
   return Id;
@@ -285,6 +289,12 @@
   return Result;
 }
 
+std::optional<MonoTime> AdmissionQueue::nextStart(MonoTime Now) const {
+  if (this->Waiting.empty() || this->Running.size() >= this->Slots)
+    return std::nullopt;
+  return this->Pacer.startTime(0, Now);
+}
+
 std::optional<MonoTime> AdmissionQueue::nextExpiry() const {
   std::optional<MonoTime> Next;
   for (const WaitingCall &Waiter : this->Waiting)
--- a/persimmonquay/traffic/admission_queue.h
+++ b/persimmonquay/traffic/admission_queue.h
@@ -17,10 +17,13 @@
 //    uses capacity that no on-time call needs.
 //  - Upstreams that hang or slow down when they run more calls at once than
 //    they have slots.
+//  - Upstreams that take fewer calls a second than they have slots for. Calls
+//    beyond that wait like calls without a slot.
 #ifndef PERSIMMONQUAY_TRAFFIC_ADMISSION_QUEUE_H
 #define PERSIMMONQUAY_TRAFFIC_ADMISSION_QUEUE_H
 
 #include "persimmonquay/base/time.h"
+#include "persimmonquay/traffic/call_pacer.h"
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -111,6 +114,14 @@
 
   void resize(std::size_t SlotCount) { this->Slots = SlotCount; }
 
+  /// Sets how many calls a second may start, or no limit.
+  void setRateLimit(std::optional<double> CallsPerSecond, MonoTime Now) {
+    this->Pacer.setLimit(CallsPerSecond, Now);
+  }
+
+  /// Counts a running call that is sent to the upstream once more.
+  void recordResend(MonoTime Now) { this->Pacer.recordSend(Now); }
+
   // Queries.
 
   /// Returns the rejection that `offer()` would give now, or none if it would
@@ -129,6 +140,11 @@
   /// if no call waits.
   std::optional<MonoTime> nextExpiry() const;
 
+  /// Returns when `startNext()` may return a call although none ends before;
+  /// none if no call waits or no slot is free.
+  std::optional<MonoTime> nextStart(MonoTime Now) const;
+
+  std::optional<double> rateLimit() const { return this->Pacer.limit(); }
   std::size_t running() const { return this->Running.size(); }
   std::size_t waiting() const { return this->Waiting.size(); }
   std::size_t slots() const { return this->Slots; }
@@ -148,8 +164,9 @@
   };
 
   /// Returns whether a call that arrives now gets a slot without waiting.
-  bool canStartNow() const {
-    return this->Running.size() < this->Slots && this->Waiting.empty();
+  bool canStartNow(MonoTime Now) const {
+    return this->Running.size() < this->Slots && this->Waiting.empty() &&
+           this->Pacer.startTime(0, Now) <= Now;
   }
   /// Returns whether the call would miss its latency objective even if it
   /// started now. Short calls never count as late.
@@ -177,6 +194,7 @@
   Micros retryDelay(const QueuedCall &Call, Micros Wait, MonoTime Now) const;
 
   std::size_t Slots;
+  CallPacer Pacer;
   std::vector<RunningCall> Running;
   std::vector<WaitingCall> Waiting;
   /// Since when calls have been waiting without a break; valid if any wait.
