daemon, fleet: an upstream that says in its responses that it leaves drains

What callers saw: calls reached an upstream later than 2 s after a response had said that it leaves (DRAIN).

Cause: as with the limit, nobody read the header; departures were known only by heartbeats and deregistration, and through the store after a restart.

Change: the gate records the departure and drains the upstream. Nodes that pass on such a response remember the incarnation (UpstreamNotices) and offer it no calls, whatever entry they receive: that needs neither the store nor gossip.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -390,7 +390,7 @@
   Result.set_idempotent(Call.Route->idempotent());
   Result.set_configuration_version(Call.Routes->version());
   Result.set_known_limit_per_s(
-      this->Notices.limit(Target.Entry.upstream(), monoNow()));
+      this->Targets.notices().limit(Target.Incarnation, monoNow()));
   return Result;
 }
 
@@ -473,9 +473,11 @@
     // A node that has restarted doesn't know the limit until a call has
     // arrived at the upstream.
     if (Reply.arrived() || Reply.load().limit_per_s() > 0)
-      this->Notices.recordLimit(Target.Entry.upstream(),
-                                Reply.load().limit_per_s(), Now);
+      this->Targets.notices().recordLimit(Target.Incarnation,
+                                          Reply.load().limit_per_s(), Now);
   }
+  if (Reply.upstream_leaving())
+    this->Targets.notices().recordLeaving(Target.Incarnation, Now);
   Call.LastReason = Reply.reason();
   this->recordCrashes(Call, Reply);
   this->Dependencies.Counters.recordAttempt(
--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -7,7 +7,6 @@
 #include "persimmonquay/daemon/caller_responses.h"
 #include "persimmonquay/daemon/header_names.h"
 #include "persimmonquay/daemon/target_table.h"
-#include "persimmonquay/fleet/upstream_notices.h"
 #include "persimmonquay/mesh/route_table.h"
 #include "persimmonquay/mesh/traffic_split.h"
 #include "persimmonquay/traffic/call_placement.h"
@@ -171,7 +170,6 @@
   CallRouterDependencies Dependencies;
   std::mt19937_64 Random;
   TargetTable Targets;
-  UpstreamNotices Notices;
   CallerResponses Responses;
   std::shared_ptr<const RouteTable> Routes;
   MonoTime StartupEnd;
--- a/persimmonquay/daemon/header_names.h
+++ b/persimmonquay/daemon/header_names.h
@@ -25,6 +25,8 @@
   /// In a response: calls a second that the upstream takes from all nodes
   /// together, as a decimal number.
   std::string ServerLimit = "x-pq-limit";
+  /// In a response, with the value "1": the upstream leaves.
+  std::string ServerLeaving = "x-pq-leaving";
   /// In a response: the upstream did not run the call.
   std::string NotExecuted = "x-pq-not-run";
   /// Service of the host that the call comes from.
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -215,6 +215,9 @@
   this->Gate.setCrashHandler([this](const CrashLedger::Records &Attributed) {
     this->handleCrash(Attributed);
   });
+  this->Gate.setLeavingHandler([this](const proto::UpstreamEntry &Leaving) {
+    this->handleLeaving(Leaving);
+  });
   this->Gate.setMaxResponseBytes(
       internal::memoryShare(this->Settings, internal::MaxResponseMemoryShare));
 }
@@ -371,6 +374,16 @@
   this->NodeGossip.join(UpdatedEntries);
 }
 
+void MeshNode::handleLeaving(const proto::UpstreamEntry &Leaving) {
+  if (!this->Registry.recordLeaving(Leaving))
+    return;
+  this->handleUpstreamChange();
+  asio::co_spawn(
+      this->Context,
+      [this] { return this->storeEntry(internal::DepartureNotStored); },
+      asio::detached);
+}
+
 void MeshNode::handleCrash(const CrashLedger::Records &Attributed) {
   this->NodeGossip.broadcastCrashes(Attributed);
   const WallTime Now = wallNow();
--- a/persimmonquay/daemon/mesh_node.h
+++ b/persimmonquay/daemon/mesh_node.h
@@ -144,6 +144,8 @@
   void handleUpstreamChange();
   void updateOwnEntry();
   void handleDirectoryChange();
+  /// Drains an upstream that has said in a response that it leaves.
+  void handleLeaving(const proto::UpstreamEntry &Leaving);
   /// Spreads crashes that this node has seen, and stores those for which
   /// requests are rejected.
   void handleCrash(const CrashLedger::Records &Attributed);
--- a/persimmonquay/daemon/target_table.cc
+++ b/persimmonquay/daemon/target_table.cc
@@ -45,12 +45,18 @@
   return Sum;
 }
 
+bool TargetTable::hasUpstream(const RouteTarget &Target) const {
+  return Target.Entry.has_upstream() && !Target.Entry.upstream().draining() &&
+         !this->Notices.isLeaving(Target.Incarnation, monoNow());
+}
+
 bool TargetTable::hasReachableUpstream(const std::string &Service) const {
   return std::any_of(
-      this->Targets.begin(), this->Targets.end(), [&Service](const auto &Item) {
+      this->Targets.begin(), this->Targets.end(),
+      [this, &Service](const auto &Item) {
         const RouteTarget &Target = *Item.second;
         const proto::UpstreamEntry &Upstream = Target.Entry.upstream();
-        return Target.Entry.has_upstream() && !Upstream.draining() &&
+        return this->hasUpstream(Target) &&
                (Service.empty() || Upstream.service() == Service) &&
                (!Target.Link || Target.Link->isUp());
       });
@@ -84,6 +90,7 @@
       Updated->View =
           UpstreamView(Entry->data_centre() == this->LocalDataCentre,
                        Entry->upstream().slots());
+    Updated->Incarnation = incarnationId(Entry->upstream());
     if (!IsLocalNode && IsSameNode)
       Updated->Link = Found->second->Link;
     Updated->Entry = *Entry;
@@ -140,9 +147,8 @@
   std::uint64_t OldestStart = UINT64_MAX;
   for (const auto &[Node, Target] : this->Targets) {
     const proto::UpstreamEntry &Upstream = Target->Entry.upstream();
-    if (!Target->Entry.has_upstream() || Upstream.service() != Call.Service ||
-        Upstream.draining() || Target->Entry.leaving() ||
-        !Call.Versions.allows(Upstream.version()))
+    if (!this->hasUpstream(*Target) || Upstream.service() != Call.Service ||
+        Target->Entry.leaving() || !Call.Versions.allows(Upstream.version()))
       continue;
     const auto FirstStart = Found->second.find(Upstream.version());
     if (FirstStart != Found->second.end() && FirstStart->second < OldestStart) {
@@ -162,9 +168,8 @@
   const std::string Base = this->baseVersion(Call);
   for (const auto &[Node, Target] : this->Targets) {
     const proto::UpstreamEntry &Upstream = Target->Entry.upstream();
-    if (!Target->Entry.has_upstream() || Upstream.service() != Call.Service ||
-        Upstream.draining() || Target->Entry.leaving() ||
-        Call.ExcludedNodes.contains(Node) ||
+    if (Upstream.service() != Call.Service || !this->hasUpstream(*Target) ||
+        Target->Entry.leaving() || Call.ExcludedNodes.contains(Node) ||
         !Call.Versions.allows(Upstream.version()) ||
         (!Call.Versions.Required && Upstream.version() != Base) ||
         (Target->Link && !Target->Link->isUp()))
--- a/persimmonquay/daemon/target_table.h
+++ b/persimmonquay/daemon/target_table.h
@@ -5,6 +5,7 @@
 #include "persimmonquay/daemon/asio.h"
 #include "persimmonquay/daemon/frame_limits.h"
 #include "persimmonquay/daemon/route_target.h"
+#include "persimmonquay/fleet/upstream_notices.h"
 #include "proto/link.pb.h"
 #include <cstdint>
 #include <functional>
@@ -40,8 +41,13 @@
   /// Closes all links.
   void stop();
 
+  /// What upstreams have said in responses. Those that leave take no calls.
+  UpstreamNotices &notices() { return this->Notices; }
+
   // Queries.
 
+  const UpstreamNotices &notices() const { return this->Notices; }
+
   /// Returns the upstreams to which `Call` may be offered now.
   std::vector<std::shared_ptr<RouteTarget>>
   candidates(const RoutedCall &Call) const;
@@ -59,6 +65,9 @@
   std::size_t size() const { return this->Targets.size(); }
 
 private:
+  /// Returns whether the node has an upstream that takes calls, as far as that
+  /// upstream and its node have told.
+  bool hasUpstream(const RouteTarget &Target) const;
   /// Updates `FirstStarts` with the upstreams that are known now.
   void recordFirstStarts();
   /// Returns a started link to a node, or null if its address is invalid.
@@ -73,6 +82,7 @@
   FrameLimits Limits;
   ConfigurationHandler OnConfiguration;
   std::map<std::string, std::shared_ptr<RouteTarget>> Targets;
+  UpstreamNotices Notices;
   /// Earliest upstream start that was seen, in Unix milliseconds, by service
   /// and version.
   std::map<std::string, std::map<std::string, std::uint64_t>> FirstStarts;
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -675,8 +675,10 @@
                        internal::keepAliveTimeout(Response), monoNow());
   const unsigned Status = Response.result_int();
   // 421 comes from another upstream at the same address.
-  if (Status != 421)
+  if (Status != 421) {
     this->readLimit(Response);
+    Reply.set_upstream_leaving(this->readLeaving(Response));
+  }
   if (Response.find(this->Headers.NotExecuted) != Response.end() ||
       Status == 421) {
     Reply.set_outcome(proto::NOT_RUN);
@@ -722,6 +724,14 @@
            {"limit", std::string(Field->value())}});
 }
 
+bool UpstreamGate::readLeaving(const HttpResponse &Response) {
+  if (Response[this->Headers.ServerLeaving] != "1")
+    return false;
+  if (this->OnLeaving && this->Upstream && !this->Upstream->draining())
+    this->OnLeaving(proto::UpstreamEntry(*this->Upstream));
+  return true;
+}
+
 void UpstreamGate::setLimit(std::optional<double> CallsPerSecond) {
   if (CallsPerSecond == this->Queue.rateLimit())
     return;
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -43,6 +43,7 @@
   using ReplyHandler = std::function<void(proto::CallReply)>;
   using ResultHandler = std::function<void(const UpstreamCallResult &)>;
   using CrashHandler = std::function<void(const CrashLedger::Records &)>;
+  using LeavingHandler = std::function<void(const proto::UpstreamEntry &)>;
 
   UpstreamGate(asio::io_context &IoContext, HeaderNames UpstreamHeaders,
                Tcp::endpoint UpstreamAddress, Metrics &NodeCounters,
@@ -86,6 +87,12 @@
     this->OnCrash = std::move(Handler);
   }
 
+  /// Sets the handler that is called when a response says that the upstream
+  /// leaves.
+  void setLeavingHandler(LeavingHandler Handler) {
+    this->OnLeaving = std::move(Handler);
+  }
+
   // Queries.
 
   /// Returns whether a call with about this deadline is running at the
@@ -160,6 +167,9 @@
   /// none.
   void readLimit(const HttpResponse &Response);
   void setLimit(std::optional<double> CallsPerSecond);
+  /// Returns whether a response says that the upstream leaves; passes that on
+  /// the first time.
+  bool readLeaving(const HttpResponse &Response);
   /// Returns the reply for the result of an exchange, and releases the
   /// connection to the pool if it is reusable.
   proto::CallReply evaluate(const Call &ActiveCall, ExchangeResult Result);
@@ -204,6 +214,7 @@
   asio::steady_timer ExpiryTimer;
   ResultHandler OnResult;
   CrashHandler OnCrash;
+  LeavingHandler OnLeaving;
 };
 
 } // namespace persimmonquay
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -326,8 +326,8 @@
   CHECK(CallWithLimit("e", "250.5") == doctest::Approx(250.5));
   CHECK(CallWithLimit("f", "") == doctest::Approx(250.5));
   CHECK(CallWithLimit("g", "0") > 0);
-  // Named no more. A limit of zero lets a call pass now and then, whose response
-  // tells.
+  // Named no more. A limit of zero lets a call pass now and then, whose
+  // response tells.
   Fixture.runFor(Millis(2100));
   CHECK(Fixture.call("h").outcome() == proto::ANSWERED);
   CHECK(Fixture.Gate.load().limit_per_s() == 0);
--- a/persimmonquay/fleet/fleet_test.cc
+++ b/persimmonquay/fleet/fleet_test.cc
@@ -341,5 +341,29 @@
   CHECK(Restarted.upstream()->draining());
 }
 
+TEST_CASE("an upstream that says in a response that it leaves drains, also if "
+          "its heartbeats don't say so") {
+  const MonoTime Now{std::chrono::hours(1)};
+  UpstreamRegistry Registry;
+  Heartbeat Beat;
+  Beat.Instance = "i-1";
+  Beat.StartedUnixMs = 1000;
+  Beat.Sequence = 1;
+  REQUIRE(Registry.apply(Beat, Now));
+  REQUIRE(!Registry.upstream()->draining());
+  CHECK(Registry.recordLeaving(*Registry.upstream()));
+  CHECK(Registry.upstream()->draining());
+  CHECK(!Registry.recordLeaving(*Registry.upstream()));
+  Beat.Sequence = 2;
+  Registry.apply(Beat, Now);
+  CHECK(Registry.upstream()->draining());
+  CHECK(Registry.departures().size() == 1);
+  // A later incarnation of the same instance takes calls.
+  Beat.StartedUnixMs = 2000;
+  Beat.Sequence = 1;
+  CHECK(Registry.apply(Beat, Now));
+  CHECK(!Registry.upstream()->draining());
+}
+
 } // namespace
 } // namespace persimmonquay
--- a/persimmonquay/fleet/upstream_notices_test.cc
+++ b/persimmonquay/fleet/upstream_notices_test.cc
@@ -5,12 +5,12 @@
 namespace persimmonquay {
 namespace {
 
-proto::UpstreamEntry upstream(const std::string &Instance,
-                              std::uint64_t StartedUnixMs) {
+std::uint64_t upstream(const std::string &Instance,
+                       std::uint64_t StartedUnixMs) {
   proto::UpstreamEntry Result;
   Result.set_instance(Instance);
   Result.set_started_unix_ms(StartedUnixMs);
-  return Result;
+  return incarnationId(Result);
 }
 
 TEST_CASE("a limit belongs to one incarnation and ends when it is lifted") {
@@ -26,6 +26,17 @@
   CHECK(Notices.size() == 0);
 }
 
+TEST_CASE("an upstream that leaves stays so whatever limit it names") {
+  const MonoTime Now{std::chrono::hours(1)};
+  UpstreamNotices Notices;
+  CHECK(!Notices.isLeaving(upstream("i-1", 10), Now));
+  Notices.recordLeaving(upstream("i-1", 10), Now);
+  Notices.recordLimit(upstream("i-1", 10), 3, Now);
+  Notices.recordLimit(upstream("i-1", 10), 0, Now);
+  CHECK(Notices.isLeaving(upstream("i-1", 10), Now));
+  CHECK(!Notices.isLeaving(upstream("i-1", 11), Now));
+}
+
 TEST_CASE("notices of many upstreams are bounded, the newest stay") {
   UpstreamNotices Notices;
   MonoTime Now{std::chrono::hours(1)};
--- a/persimmonquay/fleet/upstream_registry.cc
+++ b/persimmonquay/fleet/upstream_registry.cc
@@ -100,6 +100,15 @@
   for (const proto::DepartedUpstream &Departure : Stored)
     this->recordDeparture(Departure.instance(),
                           Departure.started_up_to_unix_ms());
+  return this->drainIfDeparted();
+}
+
+bool UpstreamRegistry::recordLeaving(const proto::UpstreamEntry &Leaving) {
+  this->recordDeparture(Leaving.instance(), Leaving.started_unix_ms());
+  return this->drainIfDeparted();
+}
+
+bool UpstreamRegistry::drainIfDeparted() {
   if (!this->Current || this->Current->draining() ||
       !this->hasDeparted(this->Instance, this->StartedUnixMs))
     return false;
--- a/persimmonquay/fleet/upstream_registry.h
+++ b/persimmonquay/fleet/upstream_registry.h
@@ -65,6 +65,10 @@
   bool deregister(const std::string &LeavingInstance,
                   std::uint64_t LeavingStartedUnixMs, WallTime Now);
 
+  /// Records that an upstream has said in a response that it leaves. It drains
+  /// from now on.
+  bool recordLeaving(const proto::UpstreamEntry &Leaving);
+
   /// Withdraws the upstream if its last heartbeat is older than `MaxSilence`.
   bool expire(Millis MaxSilence, MonoTime Now);
 
@@ -90,6 +94,9 @@
   /// Returns whether an incarnation has announced that it leaves.
   bool hasDeparted(const std::string &InstanceName,
                    std::uint64_t IncarnationStart) const;
+  /// Marks the upstream as draining if it has departed; returns whether that
+  /// has changed it.
+  bool drainIfDeparted();
   /// Records that the incarnations of an instance that started up to
   /// `StartedUpTo` have departed.
   void recordDeparture(const std::string &InstanceName,
--- a/testing/platform/upstream_notices_test.cc
+++ b/testing/platform/upstream_notices_test.cc
@@ -27,6 +27,16 @@
   return Response.insert(Response.find("\r\n") + 2, Header + "\r\n");
 }
 
+/// Makes an upstream slow, so that others of its service are preferred.
+void slowDown(TestNode &Node) {
+  Node.Upstream->setHandler([&Node](const ReceivedRequest &Request) {
+    if (Request.Target == "/health")
+      return healthResponse(Node.Instance);
+    std::this_thread::sleep_for(Millis(20));
+    return responseTo(Request);
+  });
+}
+
 /// Returns the largest number of calls that reached an upstream in any
 /// `LimitSpan` that begins at `Start` or later.
 std::size_t mostCallsInSpan(ScriptedUpstream &Upstream, MonoTime Start) {
@@ -166,13 +176,7 @@
   TestNode &Other = Mesh.add("gallery");
   Mesh.publish(5, "gallery");
   REQUIRE(Mesh.waitUntilReady());
-  // Slower, so that the limited upstream is preferred.
-  Other.Upstream->setHandler([&Other](const ReceivedRequest &Request) {
-    if (Request.Target == "/health")
-      return healthResponse(Other.Instance);
-    std::this_thread::sleep_for(Millis(20));
-    return responseTo(Request);
-  });
+  slowDown(Other);
   Limited.Upstream->setHandler([](const ReceivedRequest &Request) {
     return withHeader(responseTo(Request), "Server-Limit: 2");
   });
@@ -197,7 +201,7 @@
   SmallMesh Mesh;
   TestNode &Caller = Mesh.add("orders");
   TestNode &Leaving = Mesh.add("gallery");
-  Mesh.add("gallery");
+  slowDown(Mesh.add("gallery"));
   Mesh.publish(5, "gallery");
   REQUIRE(Mesh.waitUntilReady());
   std::atomic<bool> Leaves = false;
