--- a/persimmonquay/traffic/admission_queue.cc
+++ b/persimmonquay/traffic/admission_queue.cc
@@ -89,7 +89,10 @@
 
 std::vector<MonoTime> AdmissionQueue::slotFreeTimes(MonoTime Now) const {
   std::vector<MonoTime> FreeTimes;
-  FreeTimes.reserve(std::max(this->Slots, this->Running.size()));
+  // More free slots than calls make no difference.
+  const std::size_t SlotCount =
+      std::min(this->Slots, this->Running.size() + this->Waiting.size() + 1);
+  FreeTimes.reserve(std::max(SlotCount, this->Running.size()));
   for (const RunningCall &Call : this->Running) {
     // A call that has exceeded its expected processing time may end at any
     // moment; a quarter of that time accounts for the long tail.
@@ -99,7 +102,7 @@
                          Call.ProcessingTime / 4);
     FreeTimes.push_back(Now + Remaining);
   }
-  while (FreeTimes.size() < this->Slots)
+  while (FreeTimes.size() < SlotCount)
     FreeTimes.push_back(Now);
   std::sort(FreeTimes.begin(), FreeTimes.end());
   // After a resize to fewer slots, the surplus running calls must end first.
