Tests: copies of a refusal and heads that are cut off do no harm

Answers are matched by the id of their call, one without an id on a reused connection loses the call as unknown, and the end of a connection completes a response only after its head. Tests: copies with and without id, at once, before the next call and after it, for idempotent and other calls; heads cut at every byte (decoder) and every third (gate).

--- a/persimmonquay/daemon/http_decoder_test.cc
+++ b/persimmonquay/daemon/http_decoder_test.cc
@@ -100,6 +100,30 @@
   CHECK(Empty.decodeEnd() == DecodeResult::Failed);
 }
 
+// Callers of a similar system got a success with an empty or short body.
+TEST_CASE(
+    "a response that is cut off anywhere before its end is not complete") {
+  for (const std::string &Whole :
+       {std::string("HTTP/1.1 200 OK\r\nx-a: b\r\nContent-Length: 4\r\n"
+                    "x-c: d\r\n\r\nbody"),
+        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                    "x-c: d\r\n\r\n4\r\nbody\r\n0\r\n\r\n"),
+        std::string("HTTP/1.1 204 No Content\r\nx-c: d\r\n\r\n"),
+        std::string("HTTP/1.0 200 OK\r\nx-c: d\r\n\r\n")}) {
+    for (std::size_t Size = 0; Size < Whole.size(); ++Size) {
+      CAPTURE(Whole.substr(0, Size));
+      HttpDecoder<false> Decoder;
+      append(Decoder, Whole.substr(0, Size));
+      CHECK(Decoder.decode(Limits) == DecodeResult::Incomplete);
+      CHECK(Decoder.decodeEnd() == DecodeResult::Failed);
+    }
+    HttpDecoder<false> Decoder;
+    append(Decoder, Whole);
+    if (Decoder.decode(Limits) != DecodeResult::Complete)
+      CHECK(Decoder.decodeEnd() == DecodeResult::Complete);
+  }
+}
+
 TEST_CASE("the response to a HEAD request has no body") {
   HttpDecoder<false> Decoder;
   Decoder.setWithoutBody(true);
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -49,7 +49,7 @@
   }
 
   void submit(const std::string &Id, Millis Remaining = Millis(5000),
-              const std::string &Method = "GET") {
+              const std::string &Method = "GET", bool IsIdempotent = true) {
     proto::CallRequest Request;
     Request.set_service("gallery");
     Request.set_instance("i-1");
@@ -57,7 +57,7 @@
     Request.set_request_id(Id);
     Request.set_method(Method);
     Request.set_target("/" + Id);
-    Request.set_idempotent(true);
+    Request.set_idempotent(IsIdempotent);
     Request.set_known_limit_per_s(this->KnownLimit);
     Request.set_objective_ms(400);
     Request.set_max_wait_ms(5000);
@@ -69,8 +69,9 @@
 
   /// Submits a call and waits for its reply.
   proto::CallReply call(const std::string &Id, Millis Remaining = Millis(5000),
-                        const std::string &Method = "GET") {
-    this->submit(Id, Remaining, Method);
+                        const std::string &Method = "GET",
+                        bool IsIdempotent = true) {
+    this->submit(Id, Remaining, Method, IsIdempotent);
     this->runUntil([&] { return this->Replies.contains(Id); });
     return this->Replies[Id];
   }
@@ -273,6 +274,50 @@
   CHECK(Fixture.Connections == 2);
 }
 
+// The refusal of an earlier call says nothing about the next one, which the
+// upstream is running.
+TEST_CASE("a second copy of a refusal never refuses the next call") {
+  const std::string Head = "HTTP/1.1 503 Full\r\nx-pq-not-run: 1\r\n";
+  const std::string End = "Content-Length: 0\r\n\r\n";
+  const std::string Refusal = Head + "x-pq-request-id: a\r\n" + End;
+  const std::string WithoutId = Head + End;
+  for (const char *Method : {"GET", "POST"}) {
+    for (const Script &Played :
+         {Script{.Bytes = Refusal + Refusal},
+          Script{.Bytes = Refusal, .LateBytes = Refusal},
+          Script{.Bytes = Refusal + WithoutId},
+          Script{.Bytes = Refusal, .LateBytes = WithoutId},
+          Script{.Bytes = WithoutId, .LateBytes = WithoutId}}) {
+      for (const Millis Pause : {Millis(0), Millis(10), Millis(60)}) {
+        CAPTURE(Pause.count());
+        GateFixture Fixture;
+        Fixture.Scripts["a"] = Played;
+        CHECK(Fixture.call("a").outcome() == proto::NOT_RUN);
+        Fixture.runFor(Pause);
+        // Takes long enough for the copy to arrive first.
+        Fixture.Scripts["b"] = {.Bytes = "", .LateBytes = responseTo("b")};
+        const proto::CallReply Next =
+            Fixture.call("b", Millis(800), Method, false);
+        CHECK(Next.outcome() != proto::NOT_RUN);
+      }
+    }
+  }
+}
+
+TEST_CASE("a response whose head is cut off is not passed on") {
+  const std::string Whole = responseTo("a", "");
+  const std::string WithoutLength =
+      "HTTP/1.1 200 OK\r\nx-pq-proof: p\r\nx-pq-request-id: a\r\n\r\n";
+  for (const std::string &Response : {Whole, WithoutLength})
+    for (std::size_t Size = 1; Size < Response.size(); Size += 3) {
+      CAPTURE(Response.substr(0, Size));
+      GateFixture Fixture;
+      Fixture.Scripts["a"] = {.Bytes = Response.substr(0, Size),
+                              .ClosesAfterBytes = true};
+      checkUnknown(Fixture.call("a"));
+    }
+}
+
 TEST_CASE("an interim response is skipped and the connection stays usable") {
   GateFixture Fixture;
   Fixture.Scripts["a"] = {
