daemon: a connection opened after a lost response has no earlier responses

An upstream that states no request ids would have lost each call after a lost response.

Cause: the connection that the gate now opens after a broken exchange is kept in the pool, and a response without an id on a pooled connection counted as a copy of an earlier one. Change: the connection records whether it has carried a call. Evidence: upstream_gate_test "an upstream that states no ids is used after it lost a response" failed before and passes; daemon_test 61 of 61.

--- a/persimmonquay/daemon/upstream_connection_pool.h
+++ b/persimmonquay/daemon/upstream_connection_pool.h
@@ -23,9 +23,11 @@
   /// Time until which the upstream is expected to keep the idle connection
   /// open.
   MonoTime UsableUntil = MonoTime::max();
-  /// Idle time before the current call; none if the call is the first on this
-  /// connection.
+  /// Idle time before the current call; none if the connection was opened for
+  /// it.
   std::optional<Millis> IdleBeforeUse;
+  /// Whether responses to earlier calls may still arrive.
+  bool HasCarriedCalls = false;
 };
 
 /// Pool of idle connections in last-in, first-out order, so that few
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -585,7 +585,7 @@
     // On a connection that has carried other calls, a response without an id
     // may be a second copy of an earlier one.
     const bool IsAmbiguous =
-        Id.empty() && (Connection.IdleBeforeUse || StrayCount > 0);
+        Id.empty() && (Connection.HasCarriedCalls || StrayCount > 0);
     if (IsAmbiguous) {
       Result.Error = "response without a request id";
       co_return;
@@ -670,9 +670,11 @@
                           !Result.EndedWithConnection && !Response.need_eof() &&
                           !Response[this->Headers.RequestId].empty() &&
                           ActiveCall.Connection->Decoder.undecodedBytes() == 0;
-  if (IsReusable)
+  if (IsReusable) {
+    ActiveCall.Connection->HasCarriedCalls = true;
     this->Pool.release(ActiveCall.Connection,
                        internal::keepAliveTimeout(Response), monoNow());
+  }
   const unsigned Status = Response.result_int();
   // 421 comes from another upstream at the same address.
   if (Status != 421) {
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -304,6 +304,18 @@
   }
 }
 
+// After a lost response the gate opens a connection at once and keeps it.
+TEST_CASE("an upstream that states no ids is used after it lost a response") {
+  GateFixture Fixture;
+  Fixture.Scripts["lost"] = {.Bytes = "", .ClosesAfterBytes = true};
+  checkUnknown(Fixture.call("lost"));
+  Fixture.Scripts["a"] = {
+      .Bytes = "HTTP/1.1 200 OK\r\nx-pq-proof: p\r\nContent-Length: 2\r\n"
+               "\r\nok"};
+  CHECK(Fixture.call("a").body() == "ok");
+  CHECK(Fixture.Connections == 2);
+}
+
 TEST_CASE("a response whose head is cut off is not passed on") {
   const std::string Whole = responseTo("a", "");
   const std::string WithoutLength =
