--- a/testing/platform/odd_entries_test.cc
+++ b/testing/platform/odd_entries_test.cc
@@ -63,8 +63,10 @@
     this->Server.Sequence =
         std::max<std::uint64_t>(this->Server.Sequence, 1000);
     CHECK(this->Mesh.heartbeat(this->Server) == 200);
+    constexpr int CallerCount = 8;
     std::vector<std::thread> Callers;
-    for (int I = 0; I < 8; ++I)
+    Callers.reserve(CallerCount);
+    for (int I = 0; I < CallerCount; ++I)
       Callers.emplace_back(
           [this] { this->Mesh.call(this->Caller, {.RequestId = "load"}); });
     for (std::thread &Each : Callers)
--- a/testing/platform/upstream_notices_test.cc
+++ b/testing/platform/upstream_notices_test.cc
@@ -58,7 +58,7 @@
 /// Callers that send calls through several nodes until they are stopped.
 class Callers {
 public:
-  Callers(SmallMesh &CalledMesh, std::vector<TestNode *> Nodes) {
+  Callers(SmallMesh &CalledMesh, const std::vector<TestNode *> &Nodes) {
     for (TestNode *Node : Nodes)
       for (int I = 0; I < 2; ++I)
         this->Threads.emplace_back([this, &CalledMesh, Node] {
@@ -101,8 +101,10 @@
   constexpr std::size_t MaxCalls =
       static_cast<std::size_t>(1.5 * Limit * LimitSpan.count() / 1000) + 5;
   SmallMesh Mesh;
+  constexpr int CallingNodeCount = 3;
   std::vector<TestNode *> CallingNodes;
-  for (int I = 0; I < 3; ++I)
+  CallingNodes.reserve(CallingNodeCount);
+  for (int I = 0; I < CallingNodeCount; ++I)
     CallingNodes.push_back(&Mesh.add("orders"));
   TestNode &Limited = Mesh.add("gallery");
   Mesh.publish(5, "gallery");
