daemon: no clock read for each candidate while no upstream has given notice

Cause: hasUpstream() read the clock and looked up the notices for each upstream of each call, also if there are no notices, which is nearly always. Change: it asks for notices only if there are some.

--- a/persimmonquay/daemon/target_table.cc
+++ b/persimmonquay/daemon/target_table.cc
@@ -47,7 +47,8 @@
 
 bool TargetTable::hasUpstream(const RouteTarget &Target) const {
   return Target.Entry.has_upstream() && !Target.Entry.upstream().draining() &&
-         !this->Notices.isLeaving(Target.Incarnation, monoNow());
+         (this->Notices.size() == 0 ||
+          !this->Notices.isLeaving(Target.Incarnation, monoNow()));
 }
 
 bool TargetTable::hasReachableUpstream(const std::string &Service) const {
