review: a departure confirmed during an outage of the store is forgotten

Case 4 shows that DRAIN breaks: an upstream that has left is in use again after the node beside it has restarted, and stays so after the store is back.

--- a/review/rig/rig.cc
+++ b/review/rig/rig.cc
@@ -310,6 +310,11 @@
 std::string Store::answer(const Message &Request, const std::string &Caller) {
   const std::string Target = Request.word(1);
   const std::map<std::string, std::string> Query = parseQuery(Target);
+  {
+    const std::lock_guard<std::mutex> Lock(this->Mutex);
+    if (this->Down)
+      return response(503, "{}");
+  }
   if (Target.starts_with("/-/log-append"))
     return this->append(Query, Request.Body, Caller);
   if (Target.starts_with("/-/log-read"))
@@ -346,9 +351,11 @@
   return Found->second.Value;
 }
 
-std::string Store::lastConditionalWriter() {
+void Store::setDown(bool IsDown) {
   const std::lock_guard<std::mutex> Lock(this->Mutex);
-  return this->ConditionalWriter;
+  this->Down = IsDown;
+  this->Changed.notify_all();
+  this->Log.line(IsDown ? "store: down" : "store: back");
 }
 
 std::string Store::append(const std::map<std::string, std::string> &Query,
@@ -374,7 +381,6 @@
         Body.substr(At + 5 + KeyLength, Length - 1 - KeyLength);
     this->add(Name, Key, Value);
     if (Query.contains("at")) {
-      this->ConditionalWriter = Caller;
       std::string Line = "store: " + Caller;
       Line.append(" writes ").append(Key).append(" ").append(Value);
       this->Log.line(Line);
@@ -391,8 +397,11 @@
   std::unique_lock<std::mutex> Lock(this->Mutex);
   if (Query.contains("wait_ms"))
     this->Changed.wait_for(Lock, Millis(std::stoi(Query.at("wait_ms"))), [&] {
-      return this->Stopped || this->Topics[Name].Entries.size() > From;
+      return this->Stopped || this->Down ||
+             this->Topics[Name].Entries.size() > From;
     });
+  if (this->Down)
+    return response(503, "{}");
   const Topic &Log = this->Topics[Name];
   std::string Body = bigEndian(Log.Entries.size(), 8) + bigEndian(0, 8);
   for (std::uint64_t I = From; I < Log.Entries.size(); ++I) {
@@ -582,18 +591,25 @@
   return Answer.status();
 }
 
-int Machine::beat(const std::string &State) {
+std::string Machine::nextBeat(const std::string &State) {
   const std::lock_guard<std::mutex> Lock(this->BeatMutex);
   const Backend &Own = *this->OwnBackend;
-  const std::string Body =
-      "{\"service\":\"" + Own.service() +
-      "\",\"address\":\"127.0.0.1:" + std::to_string(Own.port()) +
-      "\",\"zone\":\"" + this->Zone + "\",\"version\":\"" + Own.version() +
-      "\",\"capacity_slots\":9,\"state\":\"" + State +
-      "\",\"cold_remaining_s\":0,\"sequence\":" +
-      std::to_string(++this->Sequence) +
-      ",\"born\":" + std::to_string(Own.bornUnixMs()) + "}";
-  return this->report("/-/Instances.Heartbeat/" + Own.instance(), Body);
+  return "{\"service\":\"" + Own.service() +
+         "\",\"address\":\"127.0.0.1:" + std::to_string(Own.port()) +
+         "\",\"zone\":\"" + this->Zone + "\",\"version\":\"" + Own.version() +
+         "\",\"capacity_slots\":9,\"state\":\"" + State +
+         "\",\"cold_remaining_s\":0,\"sequence\":" +
+         std::to_string(++this->Sequence) +
+         ",\"born\":" + std::to_string(Own.bornUnixMs()) + "}";
+}
+
+int Machine::sendBeat(const std::string &Body) {
+  return this->report("/-/Instances.Heartbeat/" + this->OwnBackend->instance(),
+                      Body);
+}
+
+int Machine::beat(const std::string &State) {
+  return this->sendBeat(this->nextBeat(State));
 }
 
 int Machine::deregister() {
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -124,8 +124,8 @@
            const std::string &Value);
   std::optional<std::string> newest(const std::string &Topic,
                                     const std::string &Key);
-  /// Returns the caller that last appended under the condition `at`.
-  std::string lastConditionalWriter();
+  /// While it is down, the store answers all calls with 503.
+  void setDown(bool IsDown);
   void stop();
 
 private:
@@ -153,7 +153,7 @@
   std::mutex Mutex;
   std::condition_variable Changed;
   std::map<std::string, Topic> Topics;
-  std::string ConditionalWriter;
+  bool Down = false;
   bool Stopped = false;
   std::vector<std::unique_ptr<Server>> Doors;
 };
@@ -231,7 +231,10 @@
   void kill();
   /// Returns whether the process runs; collects it if it has ended.
   bool isRunning();
+  /// Takes the next liveness report of the back end, which may arrive late.
+  std::string nextBeat(const std::string &State);
   /// Sends one liveness report, or the deregistration; returns the status.
+  int sendBeat(const std::string &Body);
   int beat(const std::string &State);
   int deregister();
   bool isReady() const;
