daemon: notice an upstream's end under calls whose responses nobody awaits

Cause: UpstreamGate recorded a crash only for a call that awaited its response when the connection broke. An unsafe call whose caller has left runs on, but its end wasn't looked at. The connection of a safe one is closed, as is that of any call at its deadline, and an upstream that runs on ended unnoticed. An upstream that listened again at once refused no connection, so that it seemed to have lost one only.

Change: a call whose connection has ended without a response is kept in UnattendedCalls until it has ended by its deadline. While there are any, UpstreamWatch checks that an idle connection is still open. An end that is noticed by it, by a refused connection of any call or by the heartbeat of the next incarnation is attributed to the unattended calls as well. A crash has an id of its own instead of that of the incarnation, so that two crashes before a heartbeat are two. A connection attempt that is aborted because the caller has left no longer counts as failed.

--- a/persimmonquay/daemon/upstream_connection_pool.h
+++ b/persimmonquay/daemon/upstream_connection_pool.h
@@ -11,6 +11,14 @@
 
 namespace persimmonquay {
 
+/// Timeout for connecting to the upstream, a process on the same host.
+inline constexpr Millis UpstreamConnectTimeout{400};
+
+/// TCP user timeout of connections to the upstream: the kernel closes a
+/// connection whose data stays unacknowledged for this long. On the same host,
+/// acknowledgements are immediate.
+inline constexpr Millis UpstreamTcpTimeout{2000};
+
 /// A connection to the upstream; carries one call at a time.
 struct UpstreamConnection {
   explicit UpstreamConnection(Tcp::socket ConnectedSocket)
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -1,5 +1,6 @@
 #include "persimmonquay/daemon/upstream_gate.h"
 
+#include "persimmonquay/base/hashing.h"
 #include "persimmonquay/base/logging.h"
 #include "persimmonquay/daemon/connection_timer.h"
 #include "persimmonquay/daemon/hop_by_hop_headers.h"
@@ -33,9 +34,6 @@
 /// the upstream is at fault, not an idle connection.
 constexpr Millis ResendBackoff{10000};
 
-/// Timeout for connecting to a process on the same host.
-constexpr Millis ConnectTimeout{400};
-
 /// Time for which calls are rejected after a connection to the upstream has
 /// failed.
 constexpr Millis UnreachableBackoff{300};
@@ -44,10 +42,9 @@
 /// response may still arrive.
 constexpr Millis ResponseGrace{150};
 
-/// TCP user timeout of connections to the upstream: the kernel closes a
-/// connection whose data stays unacknowledged for this long. On the same host,
-/// acknowledgements are immediate.
-constexpr Millis UpstreamTcpTimeout{2000};
+/// Time after its deadline by which an upstream has stopped working on a call,
+/// also if it notices the deadline late.
+constexpr Millis MaxOverrun{3000};
 
 /// Two deadlines that differ by less than this are taken to be the same: the
 /// remaining time is passed on in whole milliseconds over two hops on the same
@@ -114,10 +111,32 @@
   MonoTime Deadline;
   MonoTime StartTime;
   bool IsRunning = false;
+  /// Whether the call has been sent and the upstream that got it has not ended
+  /// since, as far as is known.
+  bool MayBeRunning = false;
   bool IsCancelled = false;
   std::shared_ptr<UpstreamConnection> Connection;
   /// Closes the connection when the call exceeds its time limit.
   asio::steady_timer Timer;
+
+  /// Returns how long the call may still wait to be started.
+  Micros remainingWait() const {
+    const auto Waited =
+        std::chrono::duration_cast<Micros>(monoNow() - this->ArrivalTime);
+    return std::max(Millis(this->Request.max_wait_ms()) - Waited, Micros{0});
+  }
+
+  /// Returns the record of the call for the time after its connection has
+  /// ended.
+  UnattendedCall unattended() const {
+    return {this->Request.request_id(), internal::fingerprintOf(this->Request),
+            this->Deadline + internal::MaxOverrun};
+  }
+
+  /// Returns whether the connection was closed because the caller has left.
+  bool isAborted() const {
+    return this->IsCancelled && this->Request.idempotent();
+  }
 };
 
 /// Result of one exchange with the upstream.
@@ -139,8 +158,12 @@
     : Context(IoContext), Counters(NodeCounters),
       SuccessLogLimit(internal::SuccessLogLinesPerSecond,
                       internal::SuccessLogLinesPerSecond),
-      Headers(std::move(UpstreamHeaders)), Address(std::move(UpstreamAddress)),
-      Crashes(KnownCrashes), ExpiryTimer(IoContext) {}
+      Headers(std::move(UpstreamHeaders)), Address(UpstreamAddress),
+      Crashes(KnownCrashes),
+      Watch(IoContext, std::move(UpstreamAddress), this->Pool,
+            UpstreamWatch::Callbacks{[this] { return this->awaitsResponse(); },
+                                     [this] { this->recordCrash(); }}),
+      ExpiryTimer(IoContext) {}
 
 UpstreamGate::~UpstreamGate() = default;
 
@@ -282,10 +305,7 @@
     if (Next == this->Calls.end())
       continue;
     const std::shared_ptr<Call> Held = Next->second;
-    const auto Waited =
-        std::chrono::duration_cast<Micros>(monoNow() - Held->ArrivalTime);
-    this->admit(Held, std::max(Millis(Held->Request.max_wait_ms()) - Waited,
-                               Micros{0}));
+    this->admit(Held, Held->remainingWait());
   }
 }
 
@@ -316,6 +336,11 @@
       (!this->Upstream || this->Upstream->instance() != Entry->instance() ||
        this->Upstream->started_unix_ms() != Entry->started_unix_ms());
   if (Replaced) {
+    // An upstream that has started again without having announced that it
+    // leaves has crashed. Its former calls are those without a connection.
+    if (!this->HasRecordedCrash)
+      this->attributeCrash(this->Unattended.takeAll());
+    this->HasRecordedCrash = false;
     this->Pool.closeAll();
     this->ProcessingTimes.clear();
     this->FailureRate = 0;
@@ -450,56 +475,87 @@
   });
 }
 
-asio::awaitable<bool> UpstreamGate::connect(Call &ActiveCall) {
+asio::awaitable<ErrorCode> UpstreamGate::connect(Call &ActiveCall) {
   const bool IsIdempotent = ActiveCall.Request.idempotent();
   ActiveCall.Connection =
       this->Pool.acquire(IsIdempotent ? internal::MaxIdleIdempotent
                                       : internal::MaxIdleNonIdempotent,
                          monoNow());
   if (ActiveCall.Connection)
-    co_return true;
+    co_return ErrorCode();
   co_return co_await this->openConnection(ActiveCall);
 }
 
-asio::awaitable<bool> UpstreamGate::openConnection(Call &ActiveCall) {
+asio::awaitable<ErrorCode> UpstreamGate::openConnection(Call &ActiveCall) {
   ActiveCall.Connection =
       std::make_shared<UpstreamConnection>(Tcp::socket(this->Context));
   const std::shared_ptr<UpstreamConnection> Connection = ActiveCall.Connection;
-  const ConnectionTimer Timeout(
-      ActiveCall.Timer, monoNow() + internal::ConnectTimeout, Connection);
+  const ConnectionTimer Timeout(ActiveCall.Timer,
+                                monoNow() + UpstreamConnectTimeout, Connection);
   const auto [Error] =
       co_await Connection->Socket.async_connect(this->Address, NoThrow);
-  if (Error || !Connection->Socket.is_open())
-    co_return false;
-  configureConnection(Connection->Socket, internal::UpstreamTcpTimeout);
+  if (Error)
+    co_return Error;
+  if (!Connection->Socket.is_open())
+    co_return asio::error::operation_aborted;
+  configureConnection(Connection->Socket, UpstreamTcpTimeout);
   this->IsUpstreamDown = false;
-  co_return true;
+  co_return ErrorCode();
 }
 
-void UpstreamGate::recordCrash() {
+void UpstreamGate::recordUnattended(const Call &ActiveCall) {
   // An upstream that has announced that it leaves may end at any time.
+  if (!this->Upstream || this->Upstream->draining() || !ActiveCall.MayBeRunning)
+    return;
+  this->Unattended.expire(monoNow());
+  this->Unattended.add(ActiveCall.unattended());
+  if (const std::optional<MonoTime> End = this->Unattended.lastEnd())
+    this->Watch.watchUntil(*End);
+}
+
+bool UpstreamGate::awaitsResponse() const {
+  return std::any_of(
+      this->Calls.begin(), this->Calls.end(),
+      [](const auto &Item) { return Item.second->MayBeRunning; });
+}
+
+void UpstreamGate::recordCrash() {
   if (this->IsUpstreamDown || !this->Upstream || this->Upstream->draining())
     return;
   this->IsUpstreamDown = true;
+  this->HasRecordedCrash = true;
   this->UnreachableUntil = monoNow() + internal::UnreachableBackoff;
-  std::vector<std::uint64_t> Running;
-  std::vector<std::string> RunningIds;
-  for (const auto &[Ticket, ActiveCall] : this->Calls) {
-    if (!ActiveCall->IsRunning)
-      continue;
-    Running.push_back(internal::fingerprintOf(ActiveCall->Request));
-    RunningIds.push_back(absl::StrCat(ActiveCall->Request.request_id(), "/",
-                                      hashToHex(Running.back())));
+  std::vector<UnattendedCall> Running;
+  for (const auto &[Ticket, ActiveCall] : this->Calls)
+    if (std::exchange(ActiveCall->MayBeRunning, false))
+      Running.push_back(ActiveCall->unattended());
+  this->Unattended.expire(monoNow());
+  for (UnattendedCall &Call : this->Unattended.takeAll())
+    Running.push_back(std::move(Call));
+  this->attributeCrash(Running);
+}
+
+void UpstreamGate::attributeCrash(const std::vector<UnattendedCall> &Running) {
+  if (!this->Upstream || this->Upstream->draining() || Running.empty())
+    return;
+  const WallTime Now = wallNow();
+  std::vector<std::uint64_t> Fingerprints;
+  std::vector<std::string> CallNames;
+  for (const UnattendedCall &Call : Running) {
+    Fingerprints.push_back(Call.Fingerprint);
+    CallNames.push_back(
+        absl::StrCat(Call.RequestId, "/", hashToHex(Call.Fingerprint)));
   }
-  const std::uint64_t Crash = incarnationId(*this->Upstream);
+  const std::uint64_t Crash = hashBytes(
+      this->Upstream->instance(), static_cast<std::uint64_t>(unixMillis(Now)));
   const CrashLedger::Records Attributed =
-      this->Crashes.recordCrash(Running, Crash, wallNow());
+      this->Crashes.recordCrash(Fingerprints, Crash, Now);
   this->Counters.recordUpstreamCrash();
   logLine(
       LogLevel::Warning, "upstream ended while it ran calls",
       {{"instance", this->Upstream->instance()},
        {"started_unix_ms", std::to_string(this->Upstream->started_unix_ms())},
-       {"calls", absl::StrJoin(RunningIds, ",")},
+       {"calls", absl::StrJoin(CallNames, ",")},
        {"attributed_to", std::to_string(Attributed.size())}});
   if (this->OnCrash && !Attributed.empty())
     this->OnCrash(Attributed);
@@ -534,6 +590,7 @@
                                 ActiveCall.Deadline + internal::ResponseGrace,
                                 Connection);
   HttpRequest Request = this->upstreamRequest(ActiveCall);
+  ActiveCall.MayBeRunning = true;
   const auto [WriteError, Written] =
       co_await http::async_write(Connection->Socket, Request, NoThrow);
   if (WriteError) {
@@ -618,13 +675,15 @@
 asio::awaitable<void> UpstreamGate::run(std::shared_ptr<Call> ActiveCall) {
   proto::CallReply Reply;
   std::uint32_t Resent = 0;
-  bool IsConnected = co_await this->connect(*ActiveCall);
-  if (!IsConnected) {
+  const ErrorCode ConnectError = co_await this->connect(*ActiveCall);
+  if (ConnectError && !ActiveCall->isAborted()) {
     this->UnreachableUntil = monoNow() + internal::UnreachableBackoff;
+    if (ConnectError == asio::error::connection_refused)
+      this->recordCrash();
     Reply.set_outcome(proto::NOT_RUN);
     Reply.set_reason("the upstream can't be reached");
   }
-  while (IsConnected && !ActiveCall->IsCancelled) {
+  while (!ConnectError && !ActiveCall->IsCancelled) {
     ExchangeResult Result = co_await this->exchange(*ActiveCall);
     const bool IsBroken = Result.End == ExchangeResult::EndState::Broken;
     const bool WantsResend = IsBroken && !Result.ResponseStarted &&
@@ -633,23 +692,26 @@
       this->ResendPausedUntil = monoNow() + internal::ResendBackoff;
     // Tells an upstream that has ended from one that has lost a connection. The
     // new connection replaces the broken one.
-    if (IsBroken && !ActiveCall->IsCancelled) {
-      IsConnected = co_await this->openConnection(*ActiveCall);
-      if (!IsConnected)
+    bool IsReconnected = false;
+    if (IsBroken && !ActiveCall->isAborted()) {
+      IsReconnected = !co_await this->openConnection(*ActiveCall);
+      if (!IsReconnected && !ActiveCall->isAborted())
         this->recordCrash();
     }
-    if (WantsResend && IsConnected) {
+    if (IsBroken && (IsReconnected || ActiveCall->isAborted()))
+      this->recordUnattended(*ActiveCall);
+    if (WantsResend && IsReconnected && !ActiveCall->IsCancelled) {
       ++Resent;
       this->Queue.recordResend(monoNow());
       continue;
     }
     Reply = this->evaluate(*ActiveCall, std::move(Result));
-    if (!IsConnected)
+    if (IsBroken && !IsReconnected)
       this->addCrashes(*ActiveCall, Reply);
     // The first attempt may have run even if the upstream rejected the second.
     if (Resent > 0 && Reply.outcome() == proto::NOT_RUN)
       Reply.set_outcome(proto::UNKNOWN);
-    if (IsBroken && IsConnected && !ActiveCall->IsCancelled)
+    if (IsReconnected && !ActiveCall->isAborted())
       this->Pool.release(ActiveCall->Connection, std::nullopt, monoNow());
     break;
   }
@@ -794,6 +856,9 @@
   this->Queue.finish(ActiveCall->Ticket);
   this->Calls.erase(ActiveCall->Ticket);
   this->releaseSuspect(ActiveCall->Ticket);
+  if (Reply.outcome() == proto::ANSWERED && !this->Unattended.empty())
+    this->Unattended.removeAnswered(
+        internal::fingerprintOf(ActiveCall->Request));
   this->recordResult(*ActiveCall, Reply);
   this->logEnd(*ActiveCall, Reply);
   Reply.set_work_us(static_cast<std::uint32_t>(
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -8,9 +8,11 @@
 #include "persimmonquay/daemon/asio.h"
 #include "persimmonquay/daemon/header_names.h"
 #include "persimmonquay/daemon/upstream_connection_pool.h"
+#include "persimmonquay/daemon/upstream_watch.h"
 #include "persimmonquay/traffic/admission_queue.h"
 #include "persimmonquay/traffic/crash_ledger.h"
 #include "persimmonquay/traffic/processing_time_estimate.h"
+#include "persimmonquay/traffic/unattended_calls.h"
 #include "proto/link.pb.h"
 #include <deque>
 #include <functional>
@@ -36,8 +38,13 @@
 /// reply is a guarantee: the call was not sent to the upstream and never will
 /// be, or the upstream itself states that it did not run it.
 ///
-/// Every submitted call gets exactly one reply unless it is cancelled. Confined
-/// to one thread.
+/// Every submitted call gets exactly one reply unless it is cancelled.
+///
+/// Notices when the upstream ends and attributes that to the calls that it was
+/// running, whether or not their responses were still awaited; see
+/// `CrashLedger`.
+///
+/// Confined to one thread.
 class UpstreamGate {
 public:
   using ReplyHandler = std::function<void(proto::CallReply)>;
@@ -150,12 +157,21 @@
   /// sent again: it is idempotent, and the connection had been idle long enough
   /// to have been closed by the upstream.
   bool mayResend(const Call &ActiveCall) const;
-  /// Takes a pooled connection or opens a new one; returns false on failure.
-  asio::awaitable<bool> connect(Call &ActiveCall);
-  /// Opens a new connection for a call; returns false on failure.
-  asio::awaitable<bool> openConnection(Call &ActiveCall);
-  /// Attributes the end of the upstream to calls that were running there.
+  /// Takes a pooled connection or opens a new one.
+  asio::awaitable<ErrorCode> connect(Call &ActiveCall);
+  /// Opens a new connection for a call.
+  asio::awaitable<ErrorCode> openConnection(Call &ActiveCall);
+  /// Keeps a call in mind whose connection has ended without a response,
+  /// because the upstream may still be running it.
+  void recordUnattended(const Call &ActiveCall);
+  /// Returns whether a call that has been sent awaits its response.
+  bool awaitsResponse() const;
+  /// Attributes the end of the upstream, which refuses connections, to the
+  /// calls that it was running.
   void recordCrash();
+  /// Attributes the end of the upstream to `Running`, calls that it was
+  /// running.
+  void attributeCrash(const std::vector<UnattendedCall> &Running);
   /// Sends the request and reads the response to it, skipping responses to
   /// other calls.
   asio::awaitable<ExchangeResult> exchange(Call &ActiveCall);
@@ -193,6 +209,9 @@
   /// Whether the upstream has ended and no connection to it has succeeded
   /// since.
   bool IsUpstreamDown = false;
+  /// Whether an end of the registered incarnation has been recorded.
+  bool HasRecordedCrash = false;
+  UnattendedCalls Unattended;
   /// No call is resent until then.
   MonoTime ResendPausedUntil;
   CrashLedger &Crashes;
@@ -205,6 +224,7 @@
   /// this node has known it.
   bool HasReadLimit = false;
   UpstreamConnectionPool Pool;
+  UpstreamWatch Watch;
   std::map<std::uint64_t, std::shared_ptr<Call>> Calls;
   /// Processing time at the upstream, by route.
   std::map<std::string, ProcessingTimeEstimate> ProcessingTimes;
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -103,6 +103,8 @@
   int Connections = 0;
   int EndedConnections = 0;
   std::size_t SentBytes = 0;
+  /// Ids of the requests that have reached the upstream.
+  std::vector<std::string> Received;
 
 private:
   asio::awaitable<void> accept() {
@@ -129,6 +131,7 @@
           Received.substr(Received.find('/') + 1,
                           Received.find(" HTTP") - Received.find('/') - 1);
       Received.erase(0, Size);
+      this->Received.push_back(Id);
       const auto Found = this->Scripts.find(Id);
       const Script Played = Found == this->Scripts.end()
                                 ? Script{.Bytes = responseTo(Id)}
@@ -453,6 +456,57 @@
   CHECK(Fixture.Connections == 0);
 }
 
+// The aborted connection attempt was taken for one that had failed, and all
+// calls were rejected for a while.
+TEST_CASE("a caller that leaves while a connection is opened does no harm") {
+  GateFixture Fixture;
+  // The upstream's own first step is to wait for connections.
+  Fixture.Context.poll_one();
+  Fixture.submit("left");
+  Fixture.Context.poll_one();
+  Fixture.Gate.cancel(1);
+  Fixture.runFor(Millis(20));
+  CHECK(Fixture.call("next").outcome() == proto::ANSWERED);
+}
+
+// An upstream that started again at once refuses no connection.
+TEST_CASE("a crash shows by a heartbeat of the next incarnation") {
+  GateFixture Fixture;
+  Fixture.Scripts["crash"] = {.Bytes = "", .ClosesAfterBytes = true};
+  const auto RegisterUpstream = [&](std::uint64_t StartedUnixMs,
+                                    bool IsDraining) {
+    proto::UpstreamEntry Upstream;
+    Upstream.set_service("gallery");
+    Upstream.set_instance("i-1");
+    Upstream.set_slots(4);
+    Upstream.set_started_unix_ms(StartedUnixMs);
+    Upstream.set_draining(IsDraining);
+    Fixture.Gate.setUpstream(Upstream);
+  };
+  RegisterUpstream(1000, false);
+  checkUnknown(Fixture.call("crash", Millis(5000), "POST", false));
+  SUBCASE("of an upstream that has not announced that it leaves") {
+    RegisterUpstream(2000, false);
+    CHECK(Fixture.Crashes.size() == 1);
+    // The same end is not counted again.
+    RegisterUpstream(3000, false);
+    CHECK(Fixture.Crashes.size() == 1);
+  }
+  SUBCASE("but not of one that has") {
+    RegisterUpstream(1000, true);
+    RegisterUpstream(2000, false);
+    CHECK(Fixture.Crashes.empty());
+  }
+  SUBCASE("unless the request has been answered since") {
+    Fixture.Scripts.erase("crash");
+    Fixture.Replies.erase("crash");
+    CHECK(Fixture.call("crash", Millis(5000), "POST", false).outcome() ==
+          proto::ANSWERED);
+    RegisterUpstream(2000, false);
+    CHECK(Fixture.Crashes.empty());
+  }
+}
+
 // The call may have crashed the upstream; a reply that it has not run would be
 // wrong, and would let it go to one upstream after the other.
 TEST_CASE("a call sent to an upstream that then ended is not reported as not "
--- /dev/null
+++ b/persimmonquay/traffic/unattended_calls.cc
@@ -0,0 +1,51 @@
+#include "persimmonquay/traffic/unattended_calls.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonquay {
+namespace internal {
+
+/// Bounds memory; several times the slots of an upstream.
+constexpr std::size_t MaxUnattendedCalls = 64;
+
+bool endsEarlier(const UnattendedCall &Left, const UnattendedCall &Right) {
+  return Left.EndsBy < Right.EndsBy;
+}
+
+} // namespace internal
+
+void UnattendedCalls::add(UnattendedCall Call) {
+  this->Calls.push_back(std::move(Call));
+  if (this->Calls.size() > internal::MaxUnattendedCalls)
+    this->Calls.erase(std::min_element(this->Calls.begin(), this->Calls.end(),
+                                       internal::endsEarlier));
+}
+
+void UnattendedCalls::removeAnswered(std::uint64_t Fingerprint) {
+  std::erase_if(this->Calls, [Fingerprint](const UnattendedCall &Call) {
+    return Call.Fingerprint == Fingerprint;
+  });
+}
+
+void UnattendedCalls::expire(MonoTime Now) {
+  std::erase_if(this->Calls, [Now](const UnattendedCall &Call) {
+    return Call.EndsBy <= Now;
+  });
+}
+
+std::vector<UnattendedCall> UnattendedCalls::takeAll() {
+  std::vector<UnattendedCall> Result = std::exchange(this->Calls, {});
+  std::reverse(Result.begin(), Result.end());
+  return Result;
+}
+
+std::optional<MonoTime> UnattendedCalls::lastEnd() const {
+  if (this->Calls.empty())
+    return std::nullopt;
+  return std::max_element(this->Calls.begin(), this->Calls.end(),
+                          internal::endsEarlier)
+      ->EndsBy;
+}
+
+} // namespace persimmonquay
--- a/testing/platform/crashing_requests_test.cc
+++ b/testing/platform/crashing_requests_test.cc
@@ -25,6 +25,15 @@
 /// While an upstream runs this, it calls `CrashingPath`.
 constexpr char ParentPath[] = "/views/parent";
 
+/// Requests, the second of them unsafe, that crash their upstream only after
+/// `LateCrashTime`.
+constexpr char LateSafePath[] = "/views/late-crash";
+constexpr char LateUnsafePath[] = "/orders/late-crash";
+constexpr Millis LateCrashTime{400};
+
+/// Time after which callers give up a request that crashes its upstream late.
+constexpr Millis CallerPatience{150};
+
 /// Nodes beside upstreams of "gallery" that crash when they run a request for
 /// `CrashingPath`, and one node beside an upstream of "orders" for callers.
 class CrashingMesh {
@@ -42,6 +51,12 @@
                      : responseTo(Request, 500, "a call failed");
         if (Request.Target == "/views/slow")
           std::this_thread::sleep_for(Millis(200));
+        if (Request.Target == LateSafePath ||
+            Request.Target == LateUnsafePath) {
+          std::this_thread::sleep_for(LateCrashTime);
+          return std::string(this->RestartsAtOnce ? CrashAndRestartUpstream
+                                                  : CrashUpstream);
+        }
         return Request.Target == CrashingPath ? std::string(CrashUpstream)
                                               : responseTo(Request);
       });
@@ -75,6 +90,18 @@
     }
   }
 
+  /// Reports the upstreams that have crashed and listen again to their nodes.
+  void reportCrashedUpstreams() {
+    for (const auto &Node : this->Mesh.nodes()) {
+      int &Reported = this->ReportedCrashes[Node->Name];
+      if (std::exchange(Reported, Node->Upstream->crashCount()) == Reported)
+        continue;
+      Node->StartedUnixMs = static_cast<std::uint64_t>(unixMillis(wallNow()));
+      Node->Sequence = 0;
+      this->Mesh.heartbeat(*Node);
+    }
+  }
+
   int crashCount() {
     int Count = 0;
     for (const auto &Node : this->Mesh.nodes())
@@ -82,16 +109,33 @@
     return Count;
   }
 
-  /// Returns how often the crashing request has reached an upstream since
+  /// Returns how often a crashing request has reached an upstream since
   /// `Start`.
   std::size_t arrivalsSince(MonoTime Start) {
     std::size_t Count = 0;
     for (const auto &Node : this->Mesh.nodes())
       for (const ReceivedRequest &Request : Node->Upstream->received())
-        Count += Request.Target == CrashingPath && Request.Arrival >= Start;
+        Count +=
+            (Request.Target == CrashingPath || Request.Target == LateSafePath ||
+             Request.Target == LateUnsafePath) &&
+            Request.Arrival >= Start;
     return Count;
   }
 
+  /// Sends a request through a node and closes the connection after
+  /// `CallerPatience`.
+  void callAndLeave(const TestNode &Node, const std::string &Method,
+                    const std::string &Target) {
+    sendBytes(Node.CallerPort,
+              absl::StrCat(Method, " ", Target,
+                           " HTTP/1.1\r\nHost: boards.example\r\n"
+                           "X-Persimmonquay-Request-Id: left-",
+                           ++this->CallCount,
+                           "\r\nX-Persimmonquay-Deadline-Remaining: 2500\r\n"
+                           "Content-Length: 0\r\n\r\n"),
+              CallerPatience);
+  }
+
   /// Repeats the crashing request, or one that leads to it, through one node
   /// after the other. Upstreams are back a short time after each crash.
   void repeatCrashingRequest(int Times,
@@ -107,11 +151,35 @@
   }
 
   SmallMesh Mesh;
+  /// Whether upstreams listen again at once after a late crash.
+  std::atomic<bool> RestartsAtOnce = false;
 
 private:
   std::atomic<int> CallCount = 0;
+  std::map<std::string, int> ReportedCrashes;
 };
 
+/// Sends a crashing request again and again by `SendOnce`, which gets the node
+/// to send it through, and checks that it doesn't go on ending upstreams.
+template <typename F>
+void checkRecognized(CrashingMesh &Setup, const F &SendOnce) {
+  const auto Repeat = [&](std::size_t Times) {
+    const auto &Nodes = Setup.Mesh.nodes();
+    for (std::size_t I = 0; I < Times; ++I) {
+      SendOnce(*Nodes[I % Nodes.size()]);
+      std::this_thread::sleep_for(LateCrashTime);
+      Setup.restartUpstreams();
+    }
+  };
+  Repeat(10);
+  CHECK(Setup.crashCount() >= 1);
+  CHECK(Setup.crashCount() <= MaxCrashes);
+  std::this_thread::sleep_for(PropagationTime);
+  const MonoTime Known = monoNow();
+  Repeat(6);
+  CHECK(Setup.arrivalsSince(Known) <= MaxLateArrivals);
+}
+
 } // namespace
 
 // Each repetition of a request that crashes upstreams ended one more of them.
@@ -156,6 +224,67 @@
   CHECK(Status == 502);
 }
 
+// The node beside the upstream no longer waited for the response when the
+// upstream ended, so that it did not notice the crash.
+TEST_CASE("a request that crashes upstreams is recognized although nobody "
+          "waits for its end") {
+  CrashingMesh Setup(6);
+  SUBCASE("an unsafe one whose caller has left") {
+    checkRecognized(Setup, [&](const TestNode &Node) {
+      Setup.callAndLeave(Node, "POST", LateUnsafePath);
+    });
+  }
+  SUBCASE("a safe one whose caller has left") {
+    checkRecognized(Setup, [&](const TestNode &Node) {
+      Setup.callAndLeave(Node, "GET", LateSafePath);
+    });
+  }
+  SUBCASE("an unsafe one whose deadline has passed") {
+    checkRecognized(Setup, [&](const TestNode &Node) {
+      Setup.Mesh.call(Node, {.Method = "POST",
+                             .Target = LateUnsafePath,
+                             .RequestId = "expired",
+                             .DeadlineMs = 100});
+    });
+  }
+  SUBCASE("a safe one whose deadline has passed") {
+    checkRecognized(Setup, [&](const TestNode &Node) {
+      Setup.Mesh.call(
+          Node,
+          {.Target = LateSafePath, .RequestId = "expired", .DeadlineMs = 100});
+    });
+  }
+  SUBCASE("one whose caller's node has ended") {
+    TestNode &Caller = *Setup.Mesh.nodes().front();
+    std::string Method;
+    std::string Target;
+    SUBCASE("unsafe") {
+      Method = "POST";
+      Target = LateUnsafePath;
+    }
+    SUBCASE("safe") {
+      Method = "GET";
+      Target = LateSafePath;
+    }
+    checkRecognized(Setup, [&](const TestNode &) {
+      Setup.callAndLeave(Caller, Method, Target);
+      Caller.Sidecar->signal(SIGKILL);
+      Setup.Mesh.startNode(Caller);
+      REQUIRE(eventually(WaitTimeout, [&] {
+        return Setup.callFrom(Caller, "/views/1") == 200;
+      }));
+    });
+  }
+  SUBCASE("one whose upstream listens again at once") {
+    Setup.RestartsAtOnce = true;
+    checkRecognized(Setup, [&](const TestNode &Node) {
+      Setup.callAndLeave(Node, "POST", LateUnsafePath);
+      std::this_thread::sleep_for(LateCrashTime);
+      Setup.reportCrashedUpstreams();
+    });
+  }
+}
+
 // Restarted nodes must learn what the others know before they pass on calls.
 TEST_CASE("a request that crashes upstreams stays rejected after restarts") {
   CrashingMesh Setup(5);
--- a/testing/platform/scripted_upstream.cc
+++ b/testing/platform/scripted_upstream.cc
@@ -79,14 +79,16 @@
   }
 }
 
-void ScriptedUpstream::crash() {
+void ScriptedUpstream::crash(bool KeepsListening) {
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   ++this->CrashCount;
-  if (this->Listener)
-    // Another thread may still hold the socket; new connections must be refused
-    // at once.
-    ::shutdown(this->Listener->impl()->sockfd(), SHUT_RDWR);
-  this->Listener.reset();
+  if (!KeepsListening) {
+    if (this->Listener)
+      // Another thread may still hold the socket; new connections must be
+      // refused at once.
+      ::shutdown(this->Listener->impl()->sockfd(), SHUT_RDWR);
+    this->Listener.reset();
+  }
   for (Poco::Net::StreamSocket &Connection : this->Connections)
     ::shutdown(Connection.impl()->sockfd(), SHUT_RDWR);
   this->Connections.clear();
@@ -161,8 +163,8 @@
       std::string Response = RequestHandler(Request);
       if (Response.empty())
         return;
-      if (Response == CrashUpstream) {
-        this->crash();
+      if (Response == CrashUpstream || Response == CrashAndRestartUpstream) {
+        this->crash(Response == CrashAndRestartUpstream);
         return;
       }
       const bool Close = Response[0] == CloseAfterResponse;
--- a/testing/platform/scripted_upstream.h
+++ b/testing/platform/scripted_upstream.h
@@ -41,13 +41,18 @@
 /// and new ones are refused until `restart()`.
 inline constexpr char CrashUpstream[] = "#";
 
+/// A handler's result that ends the upstream like `CrashUpstream`, except that
+/// it listens again at once.
+inline constexpr char CrashAndRestartUpstream[] = "##";
+
 /// Listens on a port of 127.0.0.1 and sends exactly the bytes that a handler
 /// returns.
 class ScriptedUpstream {
 public:
   /// Returns the bytes of the response. An empty result closes the connection
   /// without a response; a result that begins with `CloseAfterResponse` closes
-  /// it after the rest has been sent; `CrashUpstream` ends the upstream.
+  /// it after the rest has been sent; `CrashUpstream` and
+  /// `CrashAndRestartUpstream` end the upstream.
   using Handler = std::function<std::string(const ReceivedRequest &)>;
 
   explicit ScriptedUpstream(Handler InitialHandler);
@@ -75,7 +80,8 @@
 
 private:
   void accept();
-  void crash();
+  /// Ends the upstream; it listens on if `KeepsListening`.
+  void crash(bool KeepsListening);
   void serve(Poco::Net::StreamSocket Socket);
   bool readRequest(Poco::Net::StreamSocket &Socket, std::string &Buffer,
                    ReceivedRequest *Request);
