daemon: check again for crashes before a waiting call starts or is sent again

Cause: the crash ledger was asked when a call arrived. A call that waited for a slot when the crash became known started all the same, beside other suspects, and a call with a known crash was resent when its connection broke.

Change: a call is checked again when its turn comes, and rejected or held as on arrival; a request under which an upstream has ended is not resent.

Evidence: three new gate tests, each of which fails without its line (a waiting call that is rejected, waiting suspects, a resend).

--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -277,7 +277,7 @@
     this->reject({NewCall->Ticket, CrashReason, Decision.RetryAfter});
     return false;
   }
-  if (!this->ActiveSuspect) {
+  if (this->ActiveSuspect.value_or(NewCall->Ticket) == NewCall->Ticket) {
     this->ActiveSuspect = NewCall->Ticket;
     return true;
   }
@@ -293,6 +293,16 @@
   return false;
 }
 
+bool UpstreamGate::mayStillStart(std::uint64_t Ticket) {
+  if (this->Crashes.empty())
+    return true;
+  const std::shared_ptr<Call> WaitingCall = this->Calls.at(Ticket);
+  if (this->passesCrashCheck(WaitingCall, WaitingCall->remainingWait()))
+    return true;
+  this->Queue.finish(Ticket);
+  return false;
+}
+
 void UpstreamGate::releaseSuspect(std::uint64_t Ticket) {
   if (this->ActiveSuspect != Ticket) {
     std::erase(this->HeldSuspects, Ticket);
@@ -456,7 +466,8 @@
   const MonoTime Now = monoNow();
   this->rejectAll(this->Queue.expire(Now));
   while (const std::optional<std::uint64_t> Next = this->Queue.startNext(Now))
-    this->start(*Next);
+    if (this->mayStillStart(*Next))
+      this->start(*Next);
   this->armExpiryTimer();
 }
 
@@ -667,9 +678,15 @@
   const MonoTime Now = monoNow();
   const std::optional<Millis> IdleBeforeUse =
       ActiveCall.Connection->IdleBeforeUse;
+  const bool MayCrashUpstream =
+      !this->Crashes.empty() &&
+      this->Crashes
+              .decide(internal::fingerprintOf(ActiveCall.Request), wallNow())
+              .Verdict != CrashVerdict::Run;
   return IdleBeforeUse && *IdleBeforeUse >= internal::MinIdleToResend &&
          ActiveCall.Request.idempotent() && !ActiveCall.IsCancelled &&
-         Now < ActiveCall.Deadline && Now >= this->ResendPausedUntil;
+         Now < ActiveCall.Deadline && Now >= this->ResendPausedUntil &&
+         !MayCrashUpstream;
 }
 
 asio::awaitable<void> UpstreamGate::run(std::shared_ptr<Call> ActiveCall) {
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -134,6 +134,9 @@
   /// while they ran the same request. Returns false if it has been rejected or
   /// waits for the end of another such call.
   bool passesCrashCheck(const std::shared_ptr<Call> &NewCall, Micros MaxWait);
+  /// Returns whether a call that has waited for a slot may still run; see
+  /// `passesCrashCheck()`. If not, its slot is free again.
+  bool mayStillStart(std::uint64_t Ticket);
   /// Lets the next suspect run if the call was the one that ran.
   void releaseSuspect(std::uint64_t Ticket);
   /// Starts an admitted call.
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -456,6 +456,58 @@
   CHECK(Fixture.Connections == 0);
 }
 
+// The calls had been admitted before the crashes became known.
+TEST_CASE("a waiting call doesn't start once its request is known to crash "
+          "upstreams") {
+  GateFixture Fixture(1);
+  Fixture.Scripts["slow"] = {.Bytes = "", .LateBytes = responseTo("slow")};
+  Fixture.submit("slow");
+  Fixture.submit("crash");
+  Fixture.submit("harmless");
+  CHECK(Fixture.Gate.load().waiting() == 2);
+  const std::uint64_t Fingerprint = requestFingerprint("GET", "/crash", "");
+  Fixture.Crashes.recordCrash({Fingerprint}, 100, wallNow());
+  Fixture.Crashes.recordCrash({Fingerprint}, 200, wallNow());
+  Fixture.runUntil([&] { return Fixture.Replies.size() == 3; });
+  CHECK(Fixture.Replies["crash"].outcome() == proto::NOT_RUN);
+  CHECK(Fixture.Replies["crash"].reason() == CrashReason);
+  CHECK(Fixture.Replies["harmless"].outcome() == proto::ANSWERED);
+  CHECK(Fixture.Received == std::vector<std::string>{"slow", "harmless"});
+  CHECK(Fixture.Gate.load().running() == 0);
+}
+
+TEST_CASE("waiting calls that have become suspects run one at a time") {
+  GateFixture Fixture(2);
+  std::vector<std::uint64_t> Fingerprints;
+  for (const std::string Id : {"slow-1", "slow-2", "a", "b"}) {
+    Fixture.Scripts[Id] = {.Bytes = "", .LateBytes = responseTo(Id)};
+    Fixture.submit(Id);
+    if (Id.size() == 1)
+      Fingerprints.push_back(requestFingerprint("GET", "/" + Id, ""));
+  }
+  Fixture.Crashes.recordCrash(Fingerprints, 100, wallNow());
+  Fixture.runUntil([&] { return Fixture.Received.size() == 3; });
+  Fixture.runFor(Millis(10));
+  CHECK(Fixture.Gate.load().running() == 1);
+  Fixture.runUntil([&] { return Fixture.Replies.size() == 4; });
+  for (const auto &[Id, Reply] : Fixture.Replies)
+    CHECK(Reply.outcome() == proto::ANSWERED);
+}
+
+TEST_CASE("a request under which an upstream ended is not sent again on a new "
+          "connection") {
+  GateFixture Fixture;
+  CHECK(Fixture.call("warm").outcome() == proto::ANSWERED);
+  // The connection is then idle for long enough for a resend.
+  Fixture.runFor(Millis(200));
+  Fixture.Scripts["a"] = {.Bytes = "", .ClosesAfterBytes = true};
+  Fixture.Crashes.recordCrash({requestFingerprint("GET", "/a", "")}, 100,
+                              wallNow());
+  const proto::CallReply Reply = Fixture.call("a");
+  CHECK(Reply.outcome() == proto::UNKNOWN);
+  CHECK(Reply.resent() == 0);
+}
+
 // The aborted connection attempt was taken for one that had failed, and all
 // calls were rejected for a while.
 TEST_CASE("a caller that leaves while a connection is opened does no harm") {
