daemon, fleet: other nodes remember the departures of a node's upstreams

Cause: the store was the only memory of departures. The entry that nodes exchange lost its upstream and carried no departure, and a restarted node took the first heartbeat after 0.5 s whatever it had heard.

Change: - The exchanged entry carries the three latest departures. NodeDirectory keeps them over newer entries of the node, which may have forgotten them, and takes a departed upstream for draining whatever the entry says. Comparisons tell the receiver what the sender knows of it. - A node to which a link has been connected again is compared with at once, by about six nodes of its data centre; before, a restarted node that couldn't read the list waited for a random comparison. - A heartbeat that would bring an upstream into use waits until the store and a node that remembers an earlier run have been heard, for at most 0.8 s after the start (EarlierRun). If nobody remembers, a health check decides, for the first 10 s. - Departures are announced also if the upstream wasn't in use; once more if the store doesn't confirm them.

--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -19,6 +19,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace persimmonquay {
@@ -83,6 +84,12 @@
   /// Makes `Table` the active route table.
   void setRoutes(std::shared_ptr<const RouteTable> Table);
 
+  /// Sets the function that is called when the link to a node has been
+  /// connected, for links that are opened from now on.
+  void setConnectHandler(TargetTable::ConnectHandler Handler) {
+    this->Targets.setConnectHandler(std::move(Handler));
+  }
+
   /// Updates the known nodes and upstreams from `Nodes` and opens links to new
   /// nodes.
   void updateNodes(const NodeDirectory &Nodes);
--- a/persimmonquay/daemon/gossip.cc
+++ b/persimmonquay/daemon/gossip.cc
@@ -35,6 +35,10 @@
 /// departed nodes in each interval, at most.
 constexpr std::size_t InvitationsPerInterval = 4;
 
+/// Number of nodes that compare directories with a node that they can reach
+/// again, on average.
+constexpr double WelcomesPerNode = 6;
+
 /// Number of crashes in one datagram; about 650 bytes.
 constexpr std::size_t MaxCrashesPerDatagram = 24;
 
@@ -114,9 +118,50 @@
   Message.set_directory_hash(this->Directory.hash());
   Message.set_crash_hash(this->Crashes.hash());
   Message.set_wants_difference(true);
+  this->addHistory(Message, Node);
   this->send(Message, Node);
 }
 
+void Gossip::welcome(const std::string &Node) {
+  const proto::NodeEntry *Entry = this->Directory.find(Node);
+  if (Entry == nullptr)
+    return;
+  std::size_t Neighbours = 0;
+  std::size_t Others = 0;
+  for (const proto::NodeEntry *Peer : this->Directory.activePeers()) {
+    ++Others;
+    Neighbours +=
+        Peer->data_centre() == Entry->data_centre() && Peer->node() != Node;
+  }
+  const bool IsLocal =
+      Entry->data_centre() == this->Directory.ownEntry().data_centre();
+  // Traffic between data centres is expensive.
+  if (!IsLocal && Neighbours > 0)
+    return;
+  const std::size_t Candidates = IsLocal ? Neighbours + 1 : Others;
+  const double Chance =
+      internal::WelcomesPerNode / static_cast<double>(Candidates);
+  if (std::uniform_real_distribution<double>(0, 1)(this->RandomEngine) < Chance)
+    this->compareWith(*Entry);
+}
+
+void Gossip::addHistory(proto::GossipMessage &Message,
+                        const proto::NodeEntry &Recipient) const {
+  const proto::NodeEntry *Known = this->Directory.find(Recipient.node());
+  if (Known == nullptr)
+    return;
+  Message.set_receiver_known_since_boot(
+      this->Directory.knownSinceBoot(Recipient.node()));
+  *Message.mutable_receiver_departures() = Known->departed_upstreams();
+}
+
+void Gossip::handleHistory(const proto::GossipMessage &Message) {
+  const std::uint64_t KnownSince = Message.receiver_known_since_boot();
+  if (KnownSince != 0 && this->Callback.OnHistory)
+    this->Callback.OnHistory(KnownSince < this->Directory.ownEntry().boot(),
+                             Message.receiver_departures());
+}
+
 void Gossip::broadcastProgress(const proto::RolloutProgress &Progress) {
   proto::GossipMessage Message = this->makeMessage();
   *Message.add_rollouts() = Progress;
@@ -206,6 +251,7 @@
   if (!UpdatedEntries.empty())
     this->Callback.OnDirectoryChanged();
   this->announceToNewNodes();
+  this->handleHistory(Message);
   const std::vector<proto::CrashRecord> NewCrashes =
       this->mergeCrashes(Message);
   if (Message.relay())
@@ -266,6 +312,7 @@
     *Message.add_rollouts() = *Progress;
   for (const proto::NodeEntry *Entry : this->Directory.entries())
     Message.add_known_entries(NodeDirectory::entryHash(*Entry));
+  this->addHistory(Message, Recipient);
   this->send(Message, Recipient);
 }
 
--- a/persimmonquay/daemon/gossip.h
+++ b/persimmonquay/daemon/gossip.h
@@ -4,6 +4,7 @@
 
 #include "persimmonquay/base/time.h"
 #include "persimmonquay/daemon/asio.h"
+#include "persimmonquay/fleet/departures.h"
 #include "proto/link.pb.h"
 #include <array>
 #include <functional>
@@ -31,7 +32,9 @@
 /// Handles a node that restarts while the stored list of nodes can't be read,
 /// so that it knows no other node: nodes that have left are also offered
 /// comparisons for a while, by which they learn of the others, and then they
-/// announce themselves.
+/// announce themselves. A node that can be reached again is compared with at
+/// once, and is told the departures of its upstreams, which it may have
+/// forgotten.
 ///
 /// Confined to one thread.
 class Gossip {
@@ -44,6 +47,10 @@
         OnConfigurationVersion;
     std::function<void(const proto::RolloutProgress &)> OnRolloutProgress;
     std::function<void(const proto::RolloutTally &)> OnTally;
+    /// Called with what another node knows of this one: whether it has heard of
+    /// an earlier run, and the departures of this node's upstreams.
+    std::function<void(bool RemembersEarlierRun, const Departures &Known)>
+        OnHistory;
   };
 
   Gossip(asio::io_context &IoContext, NodeDirectory &KnownNodes,
@@ -82,6 +89,10 @@
   /// local data centre.
   void announceLocally();
 
+  /// Compares directories with a node that can be reached again, unless enough
+  /// other nodes of its data centre are expected to.
+  void welcome(const std::string &Node);
+
   /// Sets the configuration version that every message carries.
   void setConfigurationVersion(std::uint64_t Version) {
     this->ConfigurationVersion = Version;
@@ -112,6 +123,11 @@
   void announceToNewNodes();
   void handleMessage(const proto::GossipMessage &Message);
   void compareWith(const proto::NodeEntry &Node);
+  /// Passes on what a message says of this node's earlier runs.
+  void handleHistory(const proto::GossipMessage &Message);
+  /// Adds what this node knows of the recipient's earlier runs.
+  void addHistory(proto::GossipMessage &Message,
+                  const proto::NodeEntry &Recipient) const;
   void relay(const proto::GossipMessage &Received,
              const std::vector<proto::NodeEntry> &UpdatedEntries,
              const std::vector<proto::CrashRecord> &NewCrashes);
--- a/persimmonquay/daemon/gossip_test.cc
+++ b/persimmonquay/daemon/gossip_test.cc
@@ -17,7 +17,12 @@
         Node(Context, this->Directory, this->Rollouts, this->Crashes,
              Gossip::Callbacks{[] {}, [](const std::string &, std::uint64_t) {},
                                [](const proto::RolloutProgress &) {},
-                               [](const proto::RolloutTally &) {}}) {
+                               [](const proto::RolloutTally &) {},
+                               [this](bool Remembers, const Departures &Known) {
+                                 ++this->HistoryCount;
+                                 this->IsRemembered |= Remembers;
+                                 mergeDepartures(this->History, Known);
+                               }}) {
     // Reserves a port, on which the node listens once it starts.
     Udp::socket Reserved(Context,
                          Udp::endpoint(asio::ip::address_v4::loopback(), 0));
@@ -83,6 +88,10 @@
   CrashLedger Crashes;
   Gossip Node;
   Udp::endpoint Address;
+  /// What other nodes have said of this one's earlier runs.
+  Departures History;
+  bool IsRemembered = false;
+  int HistoryCount = 0;
 };
 
 // Guards against an upstream that stayed unknown in another data centre for up
@@ -245,5 +254,81 @@
   Context.run_for(Millis(50));
 }
 
+// The node has forgotten the departure, and announces its upstream as ready.
+TEST_CASE("a node that can be reached again is told what it has forgotten") {
+  asio::io_context Context;
+  GossipNode First(Context, "here-1", "here");
+  GossipNode Second(Context, "here-2", "here");
+  auto Earlier = std::make_unique<GossipNode>(Context, "here-3", "here");
+  const std::vector<GossipNode *> Nodes{&First, &Second, Earlier.get()};
+  const auto RunFor = [&Context](Millis Duration) {
+    Context.restart();
+    Context.run_for(Duration);
+  };
+  for (GossipNode *Node : Nodes)
+    Node->start();
+  First.join({&Second, Earlier.get()});
+  Second.join({&First, Earlier.get()});
+  proto::NodeEntry Entry = Earlier->Directory.ownEntry();
+  proto::DepartedUpstream *Departure = Entry.add_departed_upstreams();
+  Departure->set_instance("i-1");
+  Departure->set_started_up_to_unix_ms(1000);
+  Earlier->Directory.setOwnEntry(Entry);
+  Earlier->Node.announce();
+  RunFor(Millis(100));
+  Earlier->Node.stop();
+  RunFor(Millis(50));
+
+  GossipNode Returned(Context, "here-3", "here", /*Boot=*/200);
+  Returned.useAddressOf(*Earlier);
+  Returned.start();
+  Returned.registerUpstream();
+  First.Node.welcome("here-3");
+  RunFor(Millis(50));
+  CHECK(Returned.IsRemembered);
+  REQUIRE(Returned.History.size() == 1);
+  CHECK(Returned.History[0].instance() == "i-1");
+  // Others learn it from those that remember.
+  CHECK(First.Directory.find("here-3")->departed_upstreams_size() == 1);
+  CHECK(First.Directory.find("here-3")->boot() == 200);
+  CHECK(First.HistoryCount > 0);
+  CHECK_FALSE(First.IsRemembered);
+  First.Node.stop();
+  Second.Node.stop();
+  Returned.Node.stop();
+  RunFor(Millis(50));
+}
+
+TEST_CASE("few of many nodes welcome a node that can be reached again") {
+  asio::io_context Context;
+  std::vector<std::unique_ptr<GossipNode>> Nodes;
+  constexpr int NodeCount = 80;
+  for (int I = 0; I < NodeCount; ++I) {
+    Nodes.push_back(std::make_unique<GossipNode>(
+        Context, "here-" + std::to_string(I), "here"));
+    Nodes.back()->start();
+  }
+  for (const auto &Node : Nodes)
+    for (const auto &Other : Nodes)
+      Node->Directory.merge(Other->Directory.ownEntry(), monoNow());
+  GossipNode Remote(Context, "there-1", "there");
+  Remote.start();
+  for (const auto &Node : Nodes)
+    Remote.Directory.merge(Node->Directory.ownEntry(), monoNow());
+  for (const auto &Node : Nodes)
+    Node->Node.welcome("here-0");
+  Context.run_for(Millis(100));
+  CHECK(Nodes[0]->HistoryCount >= 1);
+  CHECK(Nodes[0]->HistoryCount <= 25);
+  const std::uint64_t RemoteBytes = Remote.Node.remoteBytes();
+  Remote.Node.welcome("here-0");
+  CHECK(Remote.Node.remoteBytes() == RemoteBytes);
+  for (const auto &Node : Nodes)
+    Node->Node.stop();
+  Remote.Node.stop();
+  Context.restart();
+  Context.run_for(Millis(50));
+}
+
 } // namespace
 } // namespace persimmonquay
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -45,11 +45,16 @@
 /// takes its message for lost.
 constexpr Millis DepartureStoreTimeout{400};
 
-/// Time after the start for which heartbeats wait for the entry that an earlier
-/// run has stored: several round trips to the store. If the store doesn't
-/// respond by then, the upstream is used on the strength of its heartbeat.
-constexpr Millis StoredEntryTimeout{500};
-constexpr Millis StoredEntryCheckInterval{10};
+/// Time after the start for which heartbeats wait for what the store and other
+/// nodes know of this node's earlier runs: several round trips to the store,
+/// and most of the time after which other nodes connect again. Shorter than the
+/// second after which an upstream takes its heartbeat for lost.
+constexpr Millis HistoryTimeout{800};
+constexpr Millis HistoryCheckInterval{10};
+
+/// Time after the start from which on every heartbeat is trusted: late ones of
+/// a departed upstream have arrived by then.
+constexpr Millis MaxHeartbeatDelay{10000};
 
 /// Log messages for a store that doesn't confirm this node's entry in time.
 constexpr char DepartureNotStored[] = "departure of upstream not stored yet";
@@ -194,6 +199,9 @@
                      },
                      [this](const proto::RolloutTally &Tally) {
                        this->Driver.mergeTally(Tally);
+                     },
+                     [this](bool RemembersEarlierRun, const Departures &Known) {
+                       this->handleHistory(RemembersEarlierRun, Known);
                      }}),
       Driver(Setup.Context, this->Directory, this->Rollouts, this->NodeGossip,
              this->Gate,
@@ -208,6 +216,8 @@
   OwnEntry.set_link_mbps(
       static_cast<std::uint32_t>(this->Settings.link_mbps()));
   this->Directory.setOwnEntry(std::move(OwnEntry));
+  this->Router.setConnectHandler(
+      [this](const std::string &Node) { this->NodeGossip.welcome(Node); });
   this->Router.updateNodes(this->Directory);
   this->Gate.setCrashHandler([this](const CrashLedger::Records &Attributed) {
     this->handleCrash(Attributed);
@@ -290,6 +300,13 @@
   this->NodeGossip.setConfigurationVersion(Routes->version());
   this->Router.setRoutes(std::move(Routes));
   this->checkStoredUpstream();
+  if (this->UncheckedHeartbeat)
+    asio::co_spawn(
+        this->Context,
+        [this, Received = *std::exchange(this->UncheckedHeartbeat, {})] {
+          return this->applyHeartbeat(Received);
+        },
+        asio::detached);
   // Other data centres that are cut off from the store can then fetch the
   // configuration from here.
   if (this->FollowsStore)
@@ -355,7 +372,7 @@
 }
 
 void MeshNode::mergeStoredNodes(const std::vector<proto::NodeEntry> &Entries) {
-  this->HasStoredEntries = true;
+  this->KnownHistory.recordStoredEntries(!Entries.empty());
   const MonoTime Now = monoNow();
   std::vector<proto::NodeEntry> UpdatedEntries;
   for (proto::NodeEntry Entry : Entries) {
@@ -375,12 +392,35 @@
   if (!this->Registry.recordLeaving(Leaving))
     return;
   this->handleUpstreamChange();
+  this->storeDepartures();
+}
+
+void MeshNode::storeDepartures() {
   asio::co_spawn(
       this->Context,
       [this] { return this->storeEntry(internal::DepartureNotStored); },
       asio::detached);
 }
 
+void MeshNode::handleHistory(bool RemembersEarlierRun,
+                             const Departures &Known) {
+  this->KnownHistory.recordReply(RemembersEarlierRun);
+  const bool AllKnown = std::all_of(
+      Known.begin(), Known.end(), [this](const proto::DepartedUpstream &Each) {
+        return hasDeparted(this->Registry.departures(), Each.instance(),
+                           Each.started_up_to_unix_ms());
+      });
+  if (AllKnown)
+    return;
+  logLine(LogLevel::Info, "departures learned from another node",
+          {{"departures", std::to_string(Known.size())}});
+  if (this->Registry.restoreDepartures(Known))
+    this->handleUpstreamChange();
+  else
+    this->updateOwnEntry();
+  this->storeDepartures();
+}
+
 void MeshNode::handleCrash(const CrashLedger::Records &Attributed) {
   this->NodeGossip.broadcastCrashes(Attributed);
   const WallTime Now = wallNow();
@@ -414,6 +454,7 @@
   Result.clear_leaving();
   if (Result.upstream().draining())
     Result.clear_upstream();
+  Result.clear_departed_upstreams();
   for (const proto::DepartedUpstream &Departure : this->Registry.departures())
     *Result.add_departed_upstreams() = Departure;
   for (const proto::CrashRecord &Record :
@@ -423,32 +464,39 @@
 }
 
 void MeshNode::restoreOwnEntry(const proto::NodeEntry &Stored) {
+  this->KnownHistory.recordOwnStoredEntry();
   this->Crashes.merge(Stored.crashes(), wallNow());
   if (this->Registry.restoreDepartures(Stored.departed_upstreams()))
     this->handleUpstreamChange();
+  else
+    this->updateOwnEntry();
   if (!Stored.has_upstream())
     return;
   this->StoredUpstream = Stored.upstream();
   this->checkStoredUpstream();
 }
 
+std::string MeshNode::healthPath() const {
+  if (!this->Router.routes())
+    return {};
+  for (const proto::MeshService &Service :
+       this->Router.routes()->configuration().services())
+    if (Service.name() == this->Settings.service())
+      return Service.health_path();
+  return {};
+}
+
 void MeshNode::checkStoredUpstream() {
-  const std::shared_ptr<const RouteTable> &Routes = this->Router.routes();
   // What the upstream has reported itself is newer than the stored entry.
   if (this->Registry.hasSeenUpstream())
     this->StoredUpstream.reset();
-  if (!this->StoredUpstream || !Routes)
+  const std::string Path = this->healthPath();
+  if (!this->StoredUpstream || Path.empty() ||
+      this->StoredUpstream->service() != this->Settings.service())
     return;
-  for (const proto::MeshService &Service : Routes->configuration().services())
-    if (Service.name() == this->StoredUpstream->service() &&
-        Service.name() == this->Settings.service() &&
-        !Service.health_path().empty())
-      asio::co_spawn(
-          this->Context,
-          [this, Path = Service.health_path()] {
-            return this->restoreIfSameInstance(Path);
-          },
-          asio::detached);
+  asio::co_spawn(
+      this->Context, [this, Path] { return this->restoreIfSameInstance(Path); },
+      asio::detached);
 }
 
 asio::awaitable<void> MeshNode::restoreIfSameInstance(std::string HealthPath) {
@@ -467,22 +515,54 @@
     this->handleUpstreamChange();
 }
 
-asio::awaitable<void> MeshNode::awaitStoredEntry() {
-  const MonoTime End = this->StartedAt + internal::StoredEntryTimeout;
+asio::awaitable<bool> MeshNode::awaitDepartures() {
+  if (this->Settings.first_start())
+    co_return true;
   asio::steady_timer Timer(this->Context);
-  while (!this->HasStoredEntries && !this->Settings.first_start() &&
-         monoNow() < End) {
-    Timer.expires_after(internal::StoredEntryCheckInterval);
+  while (true) {
+    const auto Running = monoNow() - this->StartedAt;
+    if (Running >= internal::MaxHeartbeatDelay)
+      co_return true;
+    const HeartbeatTrust Trust =
+        this->KnownHistory.trust(Running >= internal::HistoryTimeout);
+    if (Trust != HeartbeatTrust::Wait)
+      co_return Trust == HeartbeatTrust::Trusted;
+    Timer.expires_after(internal::HistoryCheckInterval);
     co_await Timer.async_wait(NoThrow);
   }
 }
 
+asio::awaitable<bool>
+MeshNode::confirmsByHealthCheck(const Heartbeat &Received) {
+  const std::string Instance = Received.Instance;
+  const std::string Path = this->healthPath();
+  if (Path.empty()) {
+    this->UncheckedHeartbeat = Received;
+    co_return false;
+  }
+  const std::optional<std::string> RespondingInstance = co_await checkUpstream(
+      this->Context, this->UpstreamAddress, Path, this->Names);
+  const bool IsConfirmed = RespondingInstance == Instance;
+  logLine(LogLevel::Info, "heartbeat checked",
+          {{"instance", Instance},
+           {"answering", RespondingInstance.value_or("none")},
+           {"outcome", IsConfirmed ? "applied" : "the next one is awaited"}});
+  co_return IsConfirmed;
+}
+
 asio::awaitable<void> MeshNode::applyHeartbeat(Heartbeat Received) {
-  co_await this->awaitStoredEntry();
+  // A departure is binding whoever remembers what.
+  const bool MayBringBack =
+      !Received.Draining && !this->Registry.isRegistered(Received);
+  if (MayBringBack && !co_await this->awaitDepartures() &&
+      !co_await this->confirmsByHealthCheck(Received))
+    co_return;
   if (this->Registry.apply(Received, monoNow()))
     this->handleUpstreamChange();
-  if (Received.Draining)
-    co_await this->storeEntry(internal::DepartureNotStored);
+  if (!Received.Draining)
+    co_return;
+  this->updateOwnEntry();
+  co_await this->storeEntry(internal::DepartureNotStored);
 }
 
 asio::awaitable<void>
@@ -500,6 +580,8 @@
            {"outcome", Changed ? "withdrawn" : "was not in use"}});
   if (Changed)
     this->handleUpstreamChange();
+  else
+    this->updateOwnEntry();
   co_await this->storeEntry(internal::DepartureNotStored);
 }
 
@@ -508,9 +590,12 @@
     co_return;
   const absl::Status Result =
       co_await this->WriteEntry(internal::DepartureStoreTimeout);
-  if (!Result.ok())
-    logLine(LogLevel::Warning, FailureMessage,
-            {{"error", std::string(Result.message())}});
+  if (Result.ok())
+    co_return;
+  logLine(LogLevel::Warning, FailureMessage,
+          {{"error", std::string(Result.message())}});
+  // The other nodes are the only memory then, and a datagram may be lost.
+  this->NodeGossip.announce();
 }
 
 void MeshNode::handleUpstreamChange() {
@@ -533,6 +618,8 @@
     *OwnEntry.mutable_upstream() = *this->Registry.upstream();
   else
     OwnEntry.clear_upstream();
+  mergeDepartures(*OwnEntry.mutable_departed_upstreams(),
+                  this->Registry.departures());
   OwnEntry.set_leaving(this->Stopping);
   if (!this->Directory.setOwnEntry(std::move(OwnEntry)))
     return;
--- a/persimmonquay/daemon/mesh_node.h
+++ b/persimmonquay/daemon/mesh_node.h
@@ -12,6 +12,7 @@
 #include "persimmonquay/daemon/metrics.h"
 #include "persimmonquay/daemon/rollout_driver.h"
 #include "persimmonquay/daemon/upstream_gate.h"
+#include "persimmonquay/fleet/earlier_run.h"
 #include "persimmonquay/fleet/node_directory.h"
 #include "persimmonquay/fleet/upstream_registry.h"
 #include "persimmonquay/rollout/rollout_table.h"
@@ -23,6 +24,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -132,10 +134,20 @@
 private:
   explicit MeshNode(const Builder &Setup);
 
-  /// Waits for a limited time until the entry that an earlier run has stored is
-  /// known, so that a late heartbeat can't bring back an upstream whose
-  /// departure that run has confirmed.
-  asio::awaitable<void> awaitStoredEntry();
+  /// Waits for a limited time until the departures that earlier runs have
+  /// confirmed are known, so that a late heartbeat can't bring back an upstream
+  /// that has departed. Returns whether a heartbeat can be trusted then.
+  asio::awaitable<bool> awaitDepartures();
+  /// Returns whether the upstream that sent a heartbeat says in a health check
+  /// that it is running and not leaving.
+  asio::awaitable<bool> confirmsByHealthCheck(const Heartbeat &Received);
+  /// Returns the path of health checks of this node's service; empty if it is
+  /// not known.
+  std::string healthPath() const;
+  /// Adds departures that another node remembers; see `Gossip::Callbacks`.
+  void handleHistory(bool RemembersEarlierRun, const Departures &Known);
+  /// Stores this node's entry in the background.
+  void storeDepartures();
   /// Stores this node's entry; waits for a limited time. Logs `FailureMessage`
   /// if it has not been stored by then.
   asio::awaitable<void> storeEntry(std::string FailureMessage);
@@ -185,8 +197,9 @@
   Millis LongestIdleTimeout{0};
   bool Stopping = false;
   bool FollowsStore = false;
-  /// Whether the entries that were stored before this run are known.
-  bool HasStoredEntries = false;
+  EarlierRun KnownHistory;
+  /// A heartbeat whose health check waits for the configuration.
+  std::optional<Heartbeat> UncheckedHeartbeat;
   MonoTime StartedAt;
   MonoTime ConfigurationAppliedAt;
   MonoTime TrafficLoggedAt;
--- a/persimmonquay/daemon/peer_link.cc
+++ b/persimmonquay/daemon/peer_link.cc
@@ -115,6 +115,8 @@
           this->Context,
           [Self = this->shared_from_this()] { return Self->probeLoop(); },
           asio::detached);
+      if (this->OnConnected)
+        this->OnConnected(this->Node);
       co_await this->receiveLoop();
       this->Channel->close();
       this->Channel.reset();
--- a/persimmonquay/daemon/peer_link.h
+++ b/persimmonquay/daemon/peer_link.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace persimmonquay {
 
@@ -48,6 +49,8 @@
   using ReplyHandler = std::function<void(proto::CallReply)>;
   /// Receives a frame with a configuration or a delta.
   using ConfigurationHandler = std::function<void(proto::LinkFrame)>;
+  /// Receives the name of the peer when the link has been connected.
+  using ConnectHandler = std::function<void(const std::string &Node)>;
 
   /// `ProbeInterval` is the interval between probes while no call is pending.
   PeerLink(asio::io_context &IoContext, std::string NodeName,
@@ -56,6 +59,10 @@
 
   // Commands.
 
+  void setConnectHandler(ConnectHandler Handler) {
+    this->OnConnected = std::move(Handler);
+  }
+
   void start();
   void stop();
 
@@ -103,6 +110,7 @@
   Millis IdleProbeInterval;
   FrameLimits Limits;
   ConfigurationHandler OnConfiguration;
+  ConnectHandler OnConnected;
   std::shared_ptr<FrameChannel> Channel;
   std::map<std::uint64_t, PendingCall> PendingCalls;
   std::uint64_t NextId = 1;
--- a/persimmonquay/daemon/target_table.cc
+++ b/persimmonquay/daemon/target_table.cc
@@ -123,6 +123,7 @@
                                      ? internal::LocalProbeInterval
                                      : internal::RemoteProbeInterval,
                                  this->Limits, this->OnConfiguration);
+  Result->setConnectHandler(this->OnConnected);
   Result->start();
   return Result;
 }
--- a/persimmonquay/daemon/target_table.h
+++ b/persimmonquay/daemon/target_table.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace persimmonquay {
@@ -26,6 +27,7 @@
 class TargetTable {
 public:
   using ConfigurationHandler = std::function<void(proto::LinkFrame)>;
+  using ConnectHandler = std::function<void(const std::string &Node)>;
 
   /// `Handler` receives the configurations that other nodes send.
   TargetTable(asio::io_context &IoContext, std::string LocalNodeName,
@@ -34,6 +36,12 @@
 
   // Commands.
 
+  /// Sets the function that is called when the link to a node has been
+  /// connected, for links that are opened from now on.
+  void setConnectHandler(ConnectHandler Handler) {
+    this->OnConnected = std::move(Handler);
+  }
+
   /// Updates the nodes and upstreams from `Nodes`. Opens links to new nodes and
   /// reopens links to nodes whose address has changed.
   void update(const NodeDirectory &Nodes);
@@ -81,6 +89,7 @@
   std::string LocalDataCentre;
   FrameLimits Limits;
   ConfigurationHandler OnConfiguration;
+  ConnectHandler OnConnected;
   std::map<std::string, std::shared_ptr<RouteTarget>> Targets;
   UpstreamNotices Notices;
   /// Earliest upstream start that was seen, in Unix milliseconds, by service
--- a/persimmonquay/fleet/fleet_test.cc
+++ b/persimmonquay/fleet/fleet_test.cc
@@ -1,6 +1,11 @@
+#include "persimmonquay/fleet/departures.h"
+#include "persimmonquay/fleet/earlier_run.h"
 #include "persimmonquay/fleet/node_directory.h"
 #include "persimmonquay/fleet/upstream_registry.h"
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <random>
+#include <vector>
 
 namespace persimmonquay {
 namespace {
@@ -64,6 +69,135 @@
   CHECK(Directory.find("b") == nullptr);
 }
 
+proto::DepartedUpstream makeDeparture(const std::string &Instance,
+                                      std::uint64_t StartedUpTo) {
+  proto::DepartedUpstream Result;
+  Result.set_instance(Instance);
+  Result.set_started_up_to_unix_ms(StartedUpTo);
+  return Result;
+}
+
+TEST_CASE("sets of departures agree whatever the order of merging, and stay "
+          "bounded") {
+  for (unsigned Seed = 1; Seed <= 50; ++Seed) {
+    std::mt19937 Random(Seed);
+    std::vector<Departures> Sets(6);
+    for (Departures &Set : Sets)
+      for (int I = 0; I < 3; ++I)
+        *Set.Add() = makeDeparture("i-" + std::to_string(Random() % 4),
+                                   1000 + Random() % 9);
+    std::vector<Departures> Merged(2);
+    for (Departures &Into : Merged) {
+      for (int Round = 0; Round < 2; ++Round) {
+        std::shuffle(Sets.begin(), Sets.end(), Random);
+        for (const Departures &Set : Sets)
+          mergeDepartures(Into, Set);
+      }
+      // What is known already is no change, whether or not it was kept.
+      for (const Departures &Set : Sets)
+        CHECK_FALSE(mergeDepartures(Into, Set));
+    }
+    CHECK(Merged[0].size() <= 3);
+    REQUIRE(Merged[0].size() == Merged[1].size());
+    for (int I = 0; I < Merged[0].size(); ++I) {
+      CHECK(Merged[0][I].instance() == Merged[1][I].instance());
+      CHECK(Merged[0][I].started_up_to_unix_ms() ==
+            Merged[1][I].started_up_to_unix_ms());
+    }
+  }
+}
+
+// A node that restarts announces itself with a newer entry, in which the
+// departures that it has forgotten are missing.
+TEST_CASE("departures outlast newer entries of their node") {
+  NodeDirectory Directory("a", 100);
+  const MonoTime Now = monoNow();
+  proto::NodeEntry Ready = makeEntry("b", 5, 1);
+  Ready.mutable_upstream()->set_instance("i-1");
+  Ready.mutable_upstream()->set_started_unix_ms(1000);
+  proto::NodeEntry Departed = makeEntry("b", 5, 2);
+  *Departed.add_departed_upstreams() = makeDeparture("i-1", 1000);
+  proto::NodeEntry Restarted = Ready;
+  Restarted.set_boot(7);
+  SUBCASE("that arrive after them") {
+    Directory.merge(Ready, Now);
+    Directory.merge(Departed, Now);
+    Directory.merge(Restarted, Now);
+  }
+  SUBCASE("that arrive before them") {
+    Directory.merge(Restarted, Now);
+    CHECK(Directory.merge(Departed, Now) ==
+          NodeDirectory::MergeResult::Updated);
+    CHECK(Directory.merge(Departed, Now) ==
+          NodeDirectory::MergeResult::Outdated);
+  }
+  SUBCASE("of several restarts") {
+    Directory.merge(Departed, Now);
+    for (std::uint64_t Boot = 10; Boot < 20; ++Boot) {
+      Restarted.set_boot(Boot);
+      Directory.merge(Restarted, Now);
+    }
+  }
+  CHECK(Directory.find("b")->boot() >= 7);
+  CHECK(Directory.find("b")->upstream().draining());
+  CHECK(Directory.knownSinceBoot("b") == 5);
+  // A later incarnation takes calls.
+  Restarted.set_boot(30);
+  Restarted.mutable_upstream()->set_started_unix_ms(2000);
+  Directory.merge(Restarted, Now);
+  CHECK_FALSE(Directory.find("b")->upstream().draining());
+}
+
+TEST_CASE("stored entries don't count as knowledge of an earlier run") {
+  NodeDirectory Directory("a", 100);
+  const MonoTime Now = monoNow();
+  Directory.merge(makeEntry("b", 0, 0), Now);
+  CHECK(Directory.knownSinceBoot("b") == 0);
+  Directory.merge(makeEntry("b", 7, 1), Now);
+  CHECK(Directory.knownSinceBoot("b") == 7);
+  Directory.merge(makeEntry("b", 5, 1), Now);
+  CHECK(Directory.knownSinceBoot("b") == 5);
+  CHECK(Directory.knownSinceBoot("c") == 0);
+}
+
+TEST_CASE("a heartbeat is trusted once somebody who remembers was heard") {
+  EarlierRun Run;
+  CHECK(Run.trust(false) == HeartbeatTrust::Wait);
+  CHECK(Run.trust(true) == HeartbeatTrust::Unverified);
+  SUBCASE("a restart with the store and neighbours") {
+    Run.recordOwnStoredEntry();
+    Run.recordStoredEntries(/*HasOtherNodes=*/true);
+    CHECK(Run.trust(false) == HeartbeatTrust::Wait);
+    // Started at the same time as this node.
+    Run.recordReply(/*Remembers=*/false);
+    CHECK(Run.trust(false) == HeartbeatTrust::Wait);
+    CHECK(Run.trust(true) == HeartbeatTrust::Unverified);
+    Run.recordReply(/*Remembers=*/true);
+    Run.recordReply(/*Remembers=*/false);
+    CHECK(Run.trust(false) == HeartbeatTrust::Trusted);
+  }
+  SUBCASE("a restart without the store") {
+    Run.recordReply(/*Remembers=*/true);
+    CHECK(Run.trust(false) == HeartbeatTrust::Wait);
+    CHECK(Run.trust(true) == HeartbeatTrust::Trusted);
+  }
+  SUBCASE("a restart of a node without neighbours") {
+    Run.recordOwnStoredEntry();
+    Run.recordStoredEntries(/*HasOtherNodes=*/false);
+    CHECK(Run.trust(false) == HeartbeatTrust::Unverified);
+  }
+  SUBCASE("a new node") {
+    Run.recordStoredEntries(/*HasOtherNodes=*/true);
+    CHECK(Run.trust(false) == HeartbeatTrust::Wait);
+    Run.recordReply(/*Remembers=*/false);
+    CHECK(Run.trust(false) == HeartbeatTrust::Trusted);
+  }
+  SUBCASE("a new node without neighbours") {
+    Run.recordStoredEntries(/*HasOtherNodes=*/false);
+    CHECK(Run.trust(false) == HeartbeatTrust::Trusted);
+  }
+}
+
 Heartbeat makeHeartbeat(const std::string &Instance,
                         std::uint64_t StartedUnixMs, std::uint64_t Sequence) {
   Heartbeat Result;
@@ -179,7 +313,7 @@
   for (int I = 0; I < 100; ++I)
     Registry.deregister("i-" + std::to_string(I), 1000, WallNow);
   CHECK(Registry.departures().size() == 8);
-  CHECK(Registry.departures().back().instance() == "i-99");
+  CHECK(Registry.departures().rbegin()->instance() == "i-99");
 }
 
 /// A registry, what it has stored, and two incarnations of one instance: "old",
@@ -332,7 +466,7 @@
   UpstreamRegistry Earlier;
   Earlier.deregister("i-1", 0, WallNow);
   proto::NodeEntry Stored;
-  *Stored.add_departed_upstreams() = Earlier.departures().front();
+  *Stored.add_departed_upstreams() = Earlier.departures()[0];
   UpstreamRegistry Restarted;
   CHECK(Restarted.apply(makeHeartbeat("i-1", 1000, 7), Now));
   CHECK(Restarted.restoreDepartures(Stored.departed_upstreams()));
--- a/persimmonquay/fleet/node_directory.cc
+++ b/persimmonquay/fleet/node_directory.cc
@@ -1,6 +1,7 @@
 #include "persimmonquay/fleet/node_directory.h"
 
 #include "persimmonquay/base/hashing.h"
+#include "persimmonquay/fleet/departures.h"
 #include <google/protobuf/util/message_differencer.h>
 #include <tuple>
 #include <utility>
@@ -18,6 +19,14 @@
   return {Entry.boot(), Entry.revision()};
 }
 
+/// Marks the upstream of an entry as draining if it has departed.
+void drainIfDeparted(proto::NodeEntry &Entry) {
+  if (Entry.has_upstream() &&
+      hasDeparted(Entry.departed_upstreams(), Entry.upstream().instance(),
+                  Entry.upstream().started_unix_ms()))
+    Entry.mutable_upstream()->set_draining(true);
+}
+
 } // namespace internal
 
 NodeDirectory::NodeDirectory(std::string NodeName, std::uint64_t Boot)
@@ -37,20 +46,37 @@
     }
     return MergeResult::OwnEntry;
   }
-  const auto PeerEntry = this->Peers.find(Entry.node());
-  if (PeerEntry == this->Peers.end()) {
-    this->Peers[Entry.node()] = {Entry, Now};
+  const auto [Found, IsNew] = this->Peers.try_emplace(Entry.node());
+  Peer &Known = Found->second;
+  // Stored entries have no boot number.
+  if (Entry.boot() != 0 &&
+      (Known.FirstBoot == 0 || Entry.boot() < Known.FirstBoot))
+    Known.FirstBoot = Entry.boot();
+  if (IsNew) {
+    Known.Entry = Entry;
+    Known.LastHeardAt = Now;
+    internal::drainIfDeparted(Known.Entry);
     return MergeResult::Updated;
   }
   const auto EntryVersion = internal::entryVersion(Entry);
-  const auto StoredVersion = internal::entryVersion(PeerEntry->second.Entry);
-  if (EntryVersion < StoredVersion)
-    return MergeResult::Outdated;
-  PeerEntry->second.LastHeardAt = Now;
-  if (EntryVersion == StoredVersion)
-    return MergeResult::Unchanged;
-  PeerEntry->second.Entry = Entry;
-  return MergeResult::Updated;
+  const auto StoredVersion = internal::entryVersion(Known.Entry);
+  if (EntryVersion >= StoredVersion)
+    Known.LastHeardAt = Now;
+  if (EntryVersion > StoredVersion) {
+    const Departures Earlier =
+        std::move(*Known.Entry.mutable_departed_upstreams());
+    Known.Entry = Entry;
+    mergeDepartures(*Known.Entry.mutable_departed_upstreams(), Earlier);
+    internal::drainIfDeparted(Known.Entry);
+    return MergeResult::Updated;
+  }
+  if (mergeDepartures(*Known.Entry.mutable_departed_upstreams(),
+                      Entry.departed_upstreams())) {
+    internal::drainIfDeparted(Known.Entry);
+    return MergeResult::Updated;
+  }
+  return EntryVersion < StoredVersion ? MergeResult::Outdated
+                                      : MergeResult::Unchanged;
 }
 
 bool NodeDirectory::setOwnEntry(proto::NodeEntry Entry) {
@@ -78,6 +104,11 @@
   return PeerEntry == this->Peers.end() ? nullptr : &PeerEntry->second.Entry;
 }
 
+std::uint64_t NodeDirectory::knownSinceBoot(const std::string &Node) const {
+  const auto Found = this->Peers.find(Node);
+  return Found == this->Peers.end() ? 0 : Found->second.FirstBoot;
+}
+
 std::vector<const proto::NodeEntry *> NodeDirectory::entries() const {
   std::vector<const proto::NodeEntry *> Result = {&this->OwnEntry};
   for (const auto &[Node, Peer] : this->Peers)
--- a/persimmonquay/fleet/node_directory.h
+++ b/persimmonquay/fleet/node_directory.h
@@ -15,6 +15,11 @@
 /// Of two copies the one with the higher boot number, then the one with the
 /// higher revision wins, so copies can be merged in any order and repeatedly.
 ///
+/// Handles a node that restarts and has forgotten that its upstream has
+/// departed: departures of a node's upstreams outlast newer entries without
+/// them, and an upstream that has departed counts as draining whatever the
+/// entry says.
+///
 /// Does no I/O and reads no clock. Not thread-safe.
 ///
 /// Example:
@@ -23,7 +28,8 @@
 class NodeDirectory {
 public:
   enum class MergeResult {
-    /// The entry replaced an older one or is the first of its node.
+    /// The entry replaced an older one, is the first of its node, or states a
+    /// departure that was not known.
     Updated,
     /// The same entry was stored already.
     Unchanged,
@@ -58,6 +64,10 @@
   /// Returns the entry of a node, or null if it is unknown.
   const proto::NodeEntry *find(const std::string &Node) const;
 
+  /// Returns the boot number of the earliest run of a node of which this one
+  /// has heard from a node; 0 if none.
+  std::uint64_t knownSinceBoot(const std::string &Node) const;
+
   /// Returns all entries, this node's included, sorted by node.
   std::vector<const proto::NodeEntry *> entries() const;
 
@@ -75,6 +85,8 @@
   struct Peer {
     proto::NodeEntry Entry;
     MonoTime LastHeardAt;
+    /// See `knownSinceBoot()`.
+    std::uint64_t FirstBoot = 0;
   };
 
   std::string OwnNode;
--- a/persimmonquay/fleet/upstream_registry.cc
+++ b/persimmonquay/fleet/upstream_registry.cc
@@ -8,7 +8,7 @@
 
 /// Number of departures that are kept. A host has one upstream at a time, and
 /// heartbeats are late by seconds, in which only a few can leave.
-constexpr std::size_t MaxDepartures = 8;
+constexpr int MaxDepartures = 8;
 
 /// Difference between the clocks of a node and of its upstream up to which a
 /// departure without a start still covers an upstream that has just started. An
@@ -18,34 +18,23 @@
 
 } // namespace internal
 
-bool UpstreamRegistry::hasDeparted(const std::string &InstanceName,
-                                   std::uint64_t IncarnationStart) const {
-  return std::any_of(this->Departures.begin(), this->Departures.end(),
-                     [&](const proto::DepartedUpstream &Departure) {
-                       return Departure.instance() == InstanceName &&
-                              IncarnationStart <=
-                                  Departure.started_up_to_unix_ms();
-                     });
-}
-
 void UpstreamRegistry::recordDeparture(const std::string &InstanceName,
                                        std::uint64_t StartedUpTo) {
   const auto Found =
-      std::find_if(this->Departures.begin(), this->Departures.end(),
+      std::find_if(this->Departed.begin(), this->Departed.end(),
                    [&InstanceName](const proto::DepartedUpstream &Departure) {
                      return Departure.instance() == InstanceName;
                    });
-  if (Found != this->Departures.end()) {
+  if (Found != this->Departed.end()) {
     Found->set_started_up_to_unix_ms(
         std::max<std::uint64_t>(Found->started_up_to_unix_ms(), StartedUpTo));
     return;
   }
-  proto::DepartedUpstream Departure;
-  Departure.set_instance(InstanceName);
-  Departure.set_started_up_to_unix_ms(StartedUpTo);
-  this->Departures.push_back(std::move(Departure));
-  if (this->Departures.size() > internal::MaxDepartures)
-    this->Departures.erase(this->Departures.begin());
+  proto::DepartedUpstream *Departure = this->Departed.Add();
+  Departure->set_instance(InstanceName);
+  Departure->set_started_up_to_unix_ms(StartedUpTo);
+  if (this->Departed.size() > internal::MaxDepartures)
+    this->Departed.erase(this->Departed.begin());
 }
 
 bool UpstreamRegistry::apply(const Heartbeat &Received, MonoTime Now) {
@@ -59,7 +48,7 @@
   if (IsSameIncarnation && Received.Sequence <= this->Sequence)
     return false;
   const bool IsDeparted =
-      this->hasDeparted(Received.Instance, Received.StartedUnixMs);
+      hasDeparted(this->Departed, Received.Instance, Received.StartedUnixMs);
   // An upstream that has deregistered doesn't come back as draining.
   if (IsDeparted && !Received.Draining && !(IsSameIncarnation && this->Current))
     return false;
@@ -86,7 +75,7 @@
 bool UpstreamRegistry::restore(const proto::UpstreamEntry &Stored,
                                MonoTime Now) {
   if (this->hasSeenUpstream() || Stored.draining() ||
-      this->hasDeparted(Stored.instance(), Stored.started_unix_ms()))
+      hasDeparted(this->Departed, Stored.instance(), Stored.started_unix_ms()))
     return false;
   this->Instance = Stored.instance();
   this->StartedUnixMs = Stored.started_unix_ms();
@@ -95,9 +84,8 @@
   return true;
 }
 
-bool UpstreamRegistry::restoreDepartures(
-    const google::protobuf::RepeatedPtrField<proto::DepartedUpstream> &Stored) {
-  for (const proto::DepartedUpstream &Departure : Stored)
+bool UpstreamRegistry::restoreDepartures(const Departures &Remembered) {
+  for (const proto::DepartedUpstream &Departure : Remembered)
     this->recordDeparture(Departure.instance(),
                           Departure.started_up_to_unix_ms());
   return this->drainIfDeparted();
@@ -110,7 +98,7 @@
 
 bool UpstreamRegistry::drainIfDeparted() {
   if (!this->Current || this->Current->draining() ||
-      !this->hasDeparted(this->Instance, this->StartedUnixMs))
+      !hasDeparted(this->Departed, this->Instance, this->StartedUnixMs))
     return false;
   this->Current->set_draining(true);
   return true;
--- a/persimmonquay/fleet/upstream_registry.h
+++ b/persimmonquay/fleet/upstream_registry.h
@@ -3,11 +3,11 @@
 #define PERSIMMONQUAY_FLEET_UPSTREAM_REGISTRY_H
 
 #include "persimmonquay/base/time.h"
+#include "persimmonquay/fleet/departures.h"
 #include "proto/link.pb.h"
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace persimmonquay {
 
@@ -54,9 +54,9 @@
   /// replaces the restored entry.
   bool restore(const proto::UpstreamEntry &Stored, MonoTime Now);
 
-  /// Adds departures that an earlier run of this node has stored.
-  bool restoreDepartures(
-      const google::protobuf::RepeatedPtrField<proto::DepartedUpstream> &);
+  /// Adds departures that an earlier run of this node has stored or has told
+  /// other nodes.
+  bool restoreDepartures(const Departures &Remembered);
 
   /// Withdraws the upstream that deregisters; a later incarnation stays.
   /// `LeavingStartedUnixMs` is 0 if the upstream did not state its start. In
@@ -85,15 +85,16 @@
     return !this->Instance.empty() || this->HasSeenDeparture;
   }
 
-  /// Returns the latest departures, oldest first.
-  const std::vector<proto::DepartedUpstream> &departures() const {
-    return this->Departures;
+  /// Returns whether a heartbeat comes from the registered upstream.
+  bool isRegistered(const Heartbeat &Received) const {
+    return this->Current && this->Instance == Received.Instance &&
+           this->StartedUnixMs == Received.StartedUnixMs;
   }
 
+  /// Returns the latest departures, oldest first.
+  const Departures &departures() const { return this->Departed; }
+
 private:
-  /// Returns whether an incarnation has announced that it leaves.
-  bool hasDeparted(const std::string &InstanceName,
-                   std::uint64_t IncarnationStart) const;
   /// Marks the upstream as draining if it has departed; returns whether that
   /// has changed it.
   bool drainIfDeparted();
@@ -107,7 +108,7 @@
   std::string Instance;
   std::uint64_t StartedUnixMs = 0;
   std::uint64_t Sequence = 0;
-  std::vector<proto::DepartedUpstream> Departures;
+  Departures Departed;
   bool HasSeenDeparture = false;
   MonoTime LastSeenAt;
 };
