daemon, traffic: bound what all responses of an upstream take together

Cause: the size of a response was bounded for each call (1/64 of the memory), not for all calls of an upstream together, which has as many slots as it says.

Change: ResponseMemory bounds all responses that are being received to eight of the largest allowed ones and gives up the largest first, so that the small ones of other calls are received.

--- a/persimmonquay/daemon/http_decoder.h
+++ b/persimmonquay/daemon/http_decoder.h
@@ -84,6 +84,13 @@
   /// Returns how many received bytes have not been decoded yet.
   std::size_t undecodedBytes() const { return this->Buffer.size(); }
 
+  /// Returns the size of what has been received of the current message and has
+  /// to be kept.
+  std::size_t heldBytes() const {
+    return this->Buffer.size() +
+           (this->Parser ? this->Parser->get().body().size() : 0);
+  }
+
   const ErrorCode &error() const { return this->Error; }
 
 private:
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -55,6 +55,20 @@
 /// a response body.
 constexpr std::uint32_t MaxResponseHeaderBytes = 32768;
 
+/// Maximum size of a response body unless it is set.
+constexpr std::uint64_t DefaultMaxResponseBytes = 4U << 20U;
+
+/// All responses that are being received may take as much as this number of
+/// the largest ones.
+constexpr std::size_t MaxLargestResponses = 8;
+
+/// Responses up to this size are not counted; they take little even if all
+/// slots are in use.
+constexpr std::size_t SmallResponseBytes = 16384;
+
+/// Why a response was given up; see `fitsMemory()`.
+constexpr char ResponsesTooLarge[] = "the responses take too much memory";
+
 /// Maximum number of responses to earlier calls and of interim (1xx) responses
 /// that are skipped before the response to one call.
 constexpr int MaxStrayResponses = 3;
@@ -115,6 +129,8 @@
   /// since, as far as is known.
   bool MayBeRunning = false;
   bool IsCancelled = false;
+  /// Whether the response was given up; see `fitsMemory()`.
+  bool IsTooLarge = false;
   std::shared_ptr<UpstreamConnection> Connection;
   /// Closes the connection when the call exceeds its time limit.
   asio::steady_timer Timer;
@@ -159,6 +175,9 @@
       SuccessLogLimit(internal::SuccessLogLinesPerSecond,
                       internal::SuccessLogLinesPerSecond),
       Headers(std::move(UpstreamHeaders)), Address(UpstreamAddress),
+      MaxResponseBytes(internal::DefaultMaxResponseBytes),
+      Received(internal::MaxLargestResponses *
+               internal::DefaultMaxResponseBytes),
       Crashes(KnownCrashes),
       Watch(IoContext, std::move(UpstreamAddress), this->Pool,
             UpstreamWatch::Callbacks{[this] { return this->awaitsResponse(); },
@@ -609,9 +628,32 @@
     co_return Result;
   }
   co_await this->readResponse(ActiveCall, Result);
+  this->Received.remove(ActiveCall.Ticket);
+  if (ActiveCall.IsTooLarge)
+    Result.Error = internal::ResponsesTooLarge;
   co_return Result;
 }
 
+void UpstreamGate::setMaxResponseBytes(std::uint64_t Bytes) {
+  this->MaxResponseBytes = Bytes;
+  this->Received.setMaxBytes(internal::MaxLargestResponses * Bytes);
+}
+
+bool UpstreamGate::fitsMemory(const Call &ActiveCall) {
+  const std::size_t Held = ActiveCall.Connection->Decoder.heldBytes();
+  if (Held <= internal::SmallResponseBytes)
+    return true;
+  const std::optional<std::uint64_t> Largest =
+      this->Received.update(ActiveCall.Ticket, Held);
+  if (!Largest)
+    return true;
+  const std::shared_ptr<Call> &GivenUp = this->Calls.at(*Largest);
+  GivenUp->IsTooLarge = true;
+  ErrorCode IgnoredError;
+  GivenUp->Connection->Socket.close(IgnoredError);
+  return *Largest != ActiveCall.Ticket;
+}
+
 asio::awaitable<void> UpstreamGate::readResponse(const Call &ActiveCall,
                                                  ExchangeResult &Result) {
   UpstreamConnection &Connection = *ActiveCall.Connection;
@@ -628,6 +670,8 @@
           Decoder.prepare(), NoThrow);
       Decoder.commit(Size);
       Result.ResponseStarted = Result.ResponseStarted || Size > 0;
+      if (!this->fitsMemory(ActiveCall))
+        co_return;
       if (!Error)
         continue;
       // A response without a length ends with its connection, but not with a
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -12,6 +12,7 @@
 #include "persimmonquay/traffic/admission_queue.h"
 #include "persimmonquay/traffic/crash_ledger.h"
 #include "persimmonquay/traffic/processing_time_estimate.h"
+#include "persimmonquay/traffic/response_memory.h"
 #include "persimmonquay/traffic/unattended_calls.h"
 #include "proto/link.pb.h"
 #include <deque>
@@ -77,10 +78,9 @@
   /// down.
   void stopAdmitting();
 
-  /// Sets the size of the largest response body that is accepted.
-  void setMaxResponseBytes(std::uint64_t Bytes) {
-    this->MaxResponseBytes = Bytes;
-  }
+  /// Sets the size of the largest response body that is accepted. All responses
+  /// that are being received may take a fixed multiple of it.
+  void setMaxResponseBytes(std::uint64_t Bytes);
 
   /// Sets the handler that is called with the result of each call that reached
   /// the upstream.
@@ -181,6 +181,9 @@
   /// Reads the response to a call that has been sent; sets `Result`.
   asio::awaitable<void> readResponse(const Call &ActiveCall,
                                      ExchangeResult &Result);
+  /// Returns false if the response to a call has to be given up for the memory
+  /// that the responses to all calls take. May give up that to another call.
+  bool fitsMemory(const Call &ActiveCall);
   HttpRequest upstreamRequest(const Call &ActiveCall) const;
   /// Adopts the limit that a response of the upstream names, or that it names
   /// none.
@@ -206,7 +209,8 @@
   Tcp::endpoint Address;
   std::optional<proto::UpstreamEntry> Upstream;
   bool Stopping = false;
-  std::uint64_t MaxResponseBytes = 4U << 20U;
+  std::uint64_t MaxResponseBytes;
+  ResponseMemory Received;
   /// Calls are rejected until then after a failed connection attempt.
   MonoTime UnreachableUntil;
   /// Whether the upstream has ended and no connection to it has succeeded
--- a/testing/platform/scripted_upstream.cc
+++ b/testing/platform/scripted_upstream.cc
@@ -146,6 +146,16 @@
   return false;
 }
 
+void ScriptedUpstream::sendWithoutEnd(Poco::Net::StreamSocket &Socket,
+                                      const std::string &Response) {
+  const std::size_t Separator = Response.find('\0');
+  Socket.sendBytes(Response.data() + 1, static_cast<int>(Separator - 1));
+  // The sender notices the end of the connection by an exception.
+  while (!this->Stopping)
+    Socket.sendBytes(Response.data() + Separator + 1,
+                     static_cast<int>(Response.size() - Separator - 1));
+}
+
 void ScriptedUpstream::serve(Poco::Net::StreamSocket Socket) {
   std::string Buffer;
   try {
@@ -167,6 +177,10 @@
         this->crash(Response == CrashAndRestartUpstream);
         return;
       }
+      if (Response[0] == RepeatWithoutEnd) {
+        this->sendWithoutEnd(Socket, Response);
+        return;
+      }
       const bool Close = Response[0] == CloseAfterResponse;
       if (Close)
         Response.erase(0, 1);
--- a/testing/platform/scripted_upstream.h
+++ b/testing/platform/scripted_upstream.h
@@ -45,14 +45,20 @@
 /// it listens again at once.
 inline constexpr char CrashAndRestartUpstream[] = "##";
 
+/// First byte of a handler's result that is sent without end, until the other
+/// end closes the connection: what follows it up to a zero byte is sent once,
+/// and the rest again and again. These two bytes are not sent.
+inline constexpr char RepeatWithoutEnd = '~';
+
 /// Listens on a port of 127.0.0.1 and sends exactly the bytes that a handler
 /// returns.
 class ScriptedUpstream {
 public:
   /// Returns the bytes of the response. An empty result closes the connection
   /// without a response; a result that begins with `CloseAfterResponse` closes
-  /// it after the rest has been sent; `CrashUpstream` and
-  /// `CrashAndRestartUpstream` end the upstream.
+  /// it after the rest has been sent; one that begins with `RepeatWithoutEnd`
+  /// has no end; `CrashUpstream` and `CrashAndRestartUpstream` end the
+  /// upstream.
   using Handler = std::function<std::string(const ReceivedRequest &)>;
 
   explicit ScriptedUpstream(Handler InitialHandler);
@@ -83,6 +89,9 @@
   /// Ends the upstream; it listens on if `KeepsListening`.
   void crash(bool KeepsListening);
   void serve(Poco::Net::StreamSocket Socket);
+  /// Sends a result that begins with `RepeatWithoutEnd`.
+  void sendWithoutEnd(Poco::Net::StreamSocket &Socket,
+                      const std::string &Response);
   bool readRequest(Poco::Net::StreamSocket &Socket, std::string &Buffer,
                    ReceivedRequest *Request);
 
--- a/testing/platform/small_mesh.h
+++ b/testing/platform/small_mesh.h
@@ -66,6 +66,9 @@
                 const std::string &DataCentre = "here",
                 const std::string &Address = "127.0.0.1");
 
+  /// Sets the memory of the hosts of nodes that are started from now on.
+  void setMemory(double Megabytes) { this->MemoryMegabytes = Megabytes; }
+
   /// Starts the node's process; kills the one that runs, if any.
   void startNode(TestNode &Node);
 
@@ -101,6 +104,7 @@
 private:
   StoreStandIn Store;
   std::string Directory;
+  double MemoryMegabytes = 256;
   std::vector<std::unique_ptr<TestNode>> Nodes;
 };
 
