daemon: a stopping node takes no request that it might cut

Cause: from 2.3 s after SIGTERM a node serves one more request on each connection, and new connections until 3.3 s, whatever the deadlines of the requests; at 5.6 s of 6 s it ends. A gate admitted calls of other nodes for 2.6 s in the same way.

Change: from 2.3 s after SIGTERM, when callers have had two readiness checks to notice, the node answers 503 with Retry-After at once to a request whose deadline is past the time at which the process may end. Its gate rejects such calls from SIGTERM on if they can't be repeated, so that another upstream gets them.

Gate test "a stopping node admits no unsafe call that it might cut".

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -228,6 +228,10 @@
     return Rejection;
   Call.Deadline =
       Now + std::min(Call.CallerTimeout, Millis(Call.Route->timeout_ms()));
+  if (Call.Deadline > this->ShutdownEnd)
+    return this->Responses.errorResponse(Call, StatusUnavailable,
+                                         std::string(StoppingReason),
+                                         DefaultRetryAfter);
   // A caller that retries after a rejection states a shorter timeout than at
   // first, but its latency objective counts from its first attempt. The time
   // that has elapsed since then is estimated from the difference.
--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -81,6 +81,10 @@
     this->StartupEnd = EndOfStartup;
   }
 
+  /// Rejects calls from now on whose deadline is after `End`, when the process
+  /// may end: they might be cut.
+  void rejectCallsPast(MonoTime End) { this->ShutdownEnd = End; }
+
   /// Makes `Table` the active route table.
   void setRoutes(std::shared_ptr<const RouteTable> Table);
 
@@ -177,6 +181,8 @@
   CallerResponses Responses;
   std::shared_ptr<const RouteTable> Routes;
   MonoTime StartupEnd;
+  /// See `rejectCallsPast()`.
+  MonoTime ShutdownEnd = MonoTime::max();
   std::map<std::string, TrafficSplit> TrafficSplits;
   std::map<std::string, std::unique_ptr<ServiceState>> ServiceStates;
   /// Processing time at the upstreams, by route.
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -36,6 +36,10 @@
 /// calls are in progress.
 constexpr Millis ShutdownMargin{400};
 
+/// Time before the process ends by which the deadline of a new call must have
+/// passed, so that its response or timeout still reaches the caller.
+constexpr Millis ResponseMargin{100};
+
 /// Interval at which the shutdown checks whether requests or calls are still in
 /// progress.
 constexpr Millis ShutdownCheckInterval{50};
@@ -739,10 +743,13 @@
       Millis(
           static_cast<std::int64_t>(this->Settings.grace_period_s() * 1000)) -
       internal::ShutdownMargin;
+  const MonoTime LastCallDeadline = ShutdownDeadline - internal::ResponseMargin;
+  this->Gate.rejectCallsPast(LastCallDeadline);
   asio::steady_timer Timer(this->Context);
   Timer.expires_at(
       std::min(ShutdownStart + internal::CallerNoticeTime, ShutdownDeadline));
   co_await Timer.async_wait(NoThrow);
+  this->Router.rejectCallsPast(LastCallDeadline);
   this->updateOwnEntry();
   this->Callers->startDraining(internal::ClosingIdleTimeout);
   Timer.expires_after(internal::AdmissionLinger);
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -188,8 +188,9 @@
 
 std::optional<std::string>
 UpstreamGate::unavailableReason(const proto::CallRequest &Request) const {
-  if (this->Stopping)
-    return "the node stops";
+  if (this->Stopping ||
+      this->mightBeCut(Request, monoNow() + Millis(Request.remaining_ms())))
+    return std::string(StoppingReason);
   if (!this->Upstream)
     return "no upstream is registered";
   if (this->Upstream->draining())
@@ -313,10 +314,11 @@
 }
 
 bool UpstreamGate::mayStillStart(std::uint64_t Ticket) {
-  if (this->Crashes.empty())
-    return true;
   const std::shared_ptr<Call> WaitingCall = this->Calls.at(Ticket);
-  if (this->passesCrashCheck(WaitingCall, WaitingCall->remainingWait()))
+  if (this->mightBeCut(WaitingCall->Request, WaitingCall->Deadline))
+    this->reject({Ticket, StoppingReason, Micros{0}});
+  else if (this->Crashes.empty() ||
+           this->passesCrashCheck(WaitingCall, WaitingCall->remainingWait()))
     return true;
   this->Queue.finish(Ticket);
   return false;
@@ -388,7 +390,7 @@
 
 void UpstreamGate::stopAdmitting() {
   this->Stopping = true;
-  this->rejectWaiting("the node stops");
+  this->rejectWaiting(StoppingReason);
 }
 
 void UpstreamGate::rejectWaiting(std::string_view Reason) {
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -21,11 +21,15 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace persimmonquay {
 
 class Metrics;
 
+/// Reason of a rejection because the node is shutting down.
+inline constexpr std::string_view StoppingReason = "the node stops";
+
 /// Result of one call that reached the upstream.
 struct UpstreamCallResult {
   std::string Route;
@@ -74,6 +78,10 @@
   /// Sets the upstream that is registered now, or none.
   void setUpstream(std::optional<proto::UpstreamEntry> Entry);
 
+  /// Rejects calls from now on that can't be repeated and whose deadline is
+  /// after `End`, when the process may end: they might be cut.
+  void rejectCallsPast(MonoTime End) { this->ShutdownEnd = End; }
+
   /// Rejects all queued and new calls from now on, because the node is shutting
   /// down.
   void stopAdmitting();
@@ -135,8 +143,13 @@
   /// waits for the end of another such call.
   bool passesCrashCheck(const std::shared_ptr<Call> &NewCall, Micros MaxWait);
   /// Returns whether a call that has waited for a slot may still run; see
-  /// `passesCrashCheck()`. If not, its slot is free again.
+  /// `passesCrashCheck()` and `mightBeCut()`. If not, its slot is free again.
   bool mayStillStart(std::uint64_t Ticket);
+  /// Returns whether a call with this deadline might be cut by the end of the
+  /// process, which would do harm.
+  bool mightBeCut(const proto::CallRequest &Request, MonoTime Deadline) const {
+    return !Request.idempotent() && Deadline > this->ShutdownEnd;
+  }
   /// Lets the next suspect run if the call was the one that ran.
   void releaseSuspect(std::uint64_t Ticket);
   /// Starts an admitted call.
@@ -209,6 +222,8 @@
   Tcp::endpoint Address;
   std::optional<proto::UpstreamEntry> Upstream;
   bool Stopping = false;
+  /// See `rejectCallsPast()`.
+  MonoTime ShutdownEnd = MonoTime::max();
   std::uint64_t MaxResponseBytes;
   ResponseMemory Received;
   /// Calls are rejected until then after a failed connection attempt.
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -559,6 +559,26 @@
   }
 }
 
+// The process may end before the deadline of such a call.
+TEST_CASE("a stopping node admits no unsafe call that it might cut") {
+  GateFixture Fixture(1);
+  Fixture.Scripts["slow"] = {.Bytes = "", .LateBytes = responseTo("slow")};
+  Fixture.submit("slow");
+  Fixture.submit("waiting", Millis(5000), "POST", false);
+  Fixture.Gate.rejectCallsPast(monoNow() + Millis(2000));
+  Fixture.submit("long", Millis(3000), "POST", false);
+  Fixture.submit("short", Millis(1000), "POST", false);
+  Fixture.submit("safe", Millis(3000));
+  Fixture.runUntil([&] { return Fixture.Replies.size() == 5; });
+  for (const std::string Id : {"waiting", "long"}) {
+    CHECK(Fixture.Replies[Id].outcome() == proto::NOT_RUN);
+    CHECK(Fixture.Replies[Id].reason() == StoppingReason);
+  }
+  for (const std::string Id : {"slow", "short", "safe"})
+    CHECK(Fixture.Replies[Id].outcome() == proto::ANSWERED);
+  CHECK(Fixture.Gate.load().running() == 0);
+}
+
 // The call may have crashed the upstream; a reply that it has not run would be
 // wrong, and would let it go to one upstream after the other.
 TEST_CASE("a call sent to an upstream that then ended is not reported as not "
