daemon: after a restart of all nodes, upstreams wait for 0.2 s, not for 0.8 s

Cause: since departures are remembered by other nodes, a heartbeat of an unknown incarnation waits for those.

Change: once the stored list of nodes has been read, and with it the nodes to ask, the wait is 0.2 s; then a health check decides as before.

Also a gate test of the watch over an upstream that no call awaits; it fails without the watch, which the tests over processes didn't show. daemon_test passes, and the cases of platform_test on departures and restarts (8 of 8).

--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -50,10 +50,14 @@
 constexpr Millis DepartureStoreTimeout{400};
 
 /// Time after the start for which heartbeats wait for what the store and other
-/// nodes know of this node's earlier runs: several round trips to the store,
-/// and most of the time after which other nodes connect again. Shorter than the
-/// second after which an upstream takes its heartbeat for lost.
+/// nodes know of this node's earlier runs: most of the time after which other
+/// nodes connect again. Shorter than the second after which an upstream takes
+/// its heartbeat for lost.
 constexpr Millis HistoryTimeout{800};
+
+/// Time for which they wait at most once the store has told which nodes to ask:
+/// several round trips to those.
+constexpr Millis ReplyTimeout{200};
 constexpr Millis HistoryCheckInterval{10};
 
 /// Time after the start from which on every heartbeat is trusted: late ones of
@@ -378,6 +382,8 @@
 void MeshNode::mergeStoredNodes(const std::vector<proto::NodeEntry> &Entries) {
   this->KnownHistory.recordStoredEntries(!Entries.empty());
   const MonoTime Now = monoNow();
+  if (!this->StoredNodesReadAt)
+    this->StoredNodesReadAt = Now;
   std::vector<proto::NodeEntry> UpdatedEntries;
   for (proto::NodeEntry Entry : Entries) {
     this->Crashes.merge(Entry.crashes(), wallNow());
@@ -524,11 +530,14 @@
     co_return true;
   asio::steady_timer Timer(this->Context);
   while (true) {
-    const auto Running = monoNow() - this->StartedAt;
-    if (Running >= internal::MaxHeartbeatDelay)
+    const MonoTime Now = monoNow();
+    if (Now - this->StartedAt >= internal::MaxHeartbeatDelay)
       co_return true;
-    const HeartbeatTrust Trust =
-        this->KnownHistory.trust(Running >= internal::HistoryTimeout);
+    const bool HasWaited =
+        Now - this->StartedAt >= internal::HistoryTimeout ||
+        (this->StoredNodesReadAt &&
+         Now - *this->StoredNodesReadAt >= internal::ReplyTimeout);
+    const HeartbeatTrust Trust = this->KnownHistory.trust(HasWaited);
     if (Trust != HeartbeatTrust::Wait)
       co_return Trust == HeartbeatTrust::Trusted;
     Timer.expires_after(internal::HistoryCheckInterval);
--- a/persimmonquay/daemon/mesh_node.h
+++ b/persimmonquay/daemon/mesh_node.h
@@ -198,6 +198,8 @@
   bool Stopping = false;
   bool FollowsStore = false;
   EarlierRun KnownHistory;
+  /// When the stored list of nodes was first read.
+  std::optional<MonoTime> StoredNodesReadAt;
   /// A heartbeat whose health check waits for the configuration.
   std::optional<Heartbeat> UncheckedHeartbeat;
   MonoTime StartedAt;
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -84,6 +84,15 @@
     REQUIRE(Condition());
   }
 
+  /// Ends the upstream's connections.
+  void closeConnections() {
+    for (const std::weak_ptr<Tcp::socket> &Open : this->Sockets) {
+      ErrorCode IgnoredError;
+      if (const std::shared_ptr<Tcp::socket> Socket = Open.lock())
+        Socket->close(IgnoredError);
+    }
+  }
+
   void runFor(Millis Duration) {
     const MonoTime End = monoNow() + Duration;
     while (monoNow() < End)
@@ -107,6 +116,8 @@
   std::vector<std::string> Received;
 
 private:
+  std::vector<std::weak_ptr<Tcp::socket>> Sockets;
+
   asio::awaitable<void> accept() {
     while (true) {
       auto [Error, Socket] = co_await this->Acceptor.async_accept(NoThrow);
@@ -114,6 +125,7 @@
         co_return;
       ++this->Connections;
       auto Shared = std::make_shared<Tcp::socket>(std::move(Socket));
+      this->Sockets.push_back(Shared);
       asio::co_spawn(
           this->Context, [this, Shared] { return this->serve(Shared); },
           asio::detached);
@@ -521,6 +533,29 @@
   CHECK(Fixture.call("next").outcome() == proto::ANSWERED);
 }
 
+// The connection of the call has been closed, and no other call tries to reach
+// the upstream.
+TEST_CASE("an upstream's end is noticed although no call awaits a response") {
+  GateFixture Fixture;
+  Fixture.Scripts["crash"] = {.Bytes = "", .LateBytes = ""};
+  Fixture.submit("crash");
+  SUBCASE("under a call whose caller has left") {
+    Fixture.runUntil([&] { return Fixture.Received.size() == 1; });
+    Fixture.Gate.cancel(1);
+  }
+  SUBCASE("beside a connection that is idle") {
+    CHECK(Fixture.call("other").outcome() == proto::ANSWERED);
+    Fixture.Gate.cancel(1);
+  }
+  Fixture.runFor(Millis(300));
+  CHECK(Fixture.Crashes.empty());
+  Fixture.Acceptor.close();
+  Fixture.closeConnections();
+  const MonoTime EndedAt = monoNow();
+  Fixture.runUntil([&] { return Fixture.Crashes.size() == 1; });
+  CHECK(monoNow() - EndedAt < Millis(1000));
+}
+
 // An upstream that started again at once refuses no connection.
 TEST_CASE("a crash shows by a heartbeat of the next incarnation") {
   GateFixture Fixture;
