daemon, traffic: SentCall instead of UnattendedCall; a crash record names an end

Read as a newcomer: UnattendedCall also stood for calls that await their response when a crash is attributed. Calls that have ended by their deadline are dropped before the heartbeat of a next incarnation is judged. No other change of behaviour; daemon_test and traffic_test pass.

--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -142,9 +142,8 @@
     return std::max(Millis(this->Request.max_wait_ms()) - Waited, Micros{0});
   }
 
-  /// Returns the record of the call for the time after its connection has
-  /// ended.
-  UnattendedCall unattended() const {
+  /// Returns what has to be known of the call to attribute a crash to it.
+  SentCall sentCall() const {
     return {this->Request.request_id(), internal::fingerprintOf(this->Request),
             this->Deadline + internal::MaxOverrun};
   }
@@ -369,6 +368,7 @@
   if (Replaced) {
     // An upstream that has started again without having announced that it
     // leaves has crashed. Its former calls are those without a connection.
+    this->Unattended.expire(monoNow());
     if (!this->HasRecordedCrash)
       this->attributeCrash(this->Unattended.takeAll());
     this->HasRecordedCrash = false;
@@ -540,7 +540,7 @@
   if (!this->Upstream || this->Upstream->draining() || !ActiveCall.MayBeRunning)
     return;
   this->Unattended.expire(monoNow());
-  this->Unattended.add(ActiveCall.unattended());
+  this->Unattended.add(ActiveCall.sentCall());
   if (const std::optional<MonoTime> End = this->Unattended.lastEnd())
     this->Watch.watchUntil(*End);
 }
@@ -557,23 +557,23 @@
   this->IsUpstreamDown = true;
   this->HasRecordedCrash = true;
   this->UnreachableUntil = monoNow() + internal::UnreachableBackoff;
-  std::vector<UnattendedCall> Running;
+  std::vector<SentCall> Running;
   for (const auto &[Ticket, ActiveCall] : this->Calls)
     if (std::exchange(ActiveCall->MayBeRunning, false))
-      Running.push_back(ActiveCall->unattended());
+      Running.push_back(ActiveCall->sentCall());
   this->Unattended.expire(monoNow());
-  for (UnattendedCall &Call : this->Unattended.takeAll())
+  for (SentCall &Call : this->Unattended.takeAll())
     Running.push_back(std::move(Call));
   this->attributeCrash(Running);
 }
 
-void UpstreamGate::attributeCrash(const std::vector<UnattendedCall> &Running) {
+void UpstreamGate::attributeCrash(const std::vector<SentCall> &Running) {
   if (!this->Upstream || this->Upstream->draining() || Running.empty())
     return;
   const WallTime Now = wallNow();
   std::vector<std::uint64_t> Fingerprints;
   std::vector<std::string> CallNames;
-  for (const UnattendedCall &Call : Running) {
+  for (const SentCall &Call : Running) {
     Fingerprints.push_back(Call.Fingerprint);
     CallNames.push_back(
         absl::StrCat(Call.RequestId, "/", hashToHex(Call.Fingerprint)));
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -187,7 +187,7 @@
   void recordCrash();
   /// Attributes the end of the upstream to `Running`, calls that it was
   /// running.
-  void attributeCrash(const std::vector<UnattendedCall> &Running);
+  void attributeCrash(const std::vector<SentCall> &Running);
   /// Sends the request and reads the response to it, skipping responses to
   /// other calls.
   asio::awaitable<ExchangeResult> exchange(Call &ActiveCall);
--- a/persimmonquay/traffic/crash_ledger.h
+++ b/persimmonquay/traffic/crash_ledger.h
@@ -63,7 +63,7 @@
   // Commands. Each returns the records that are new or have changed.
 
   /// Records that an upstream ended while it ran requests. `Crash` identifies
-  /// its incarnation. The crash is attributed to the suspects among them, or to
+  /// this end. The crash is attributed to the suspects among them, or to
   /// all if there are none.
   Records recordCrash(const std::vector<std::uint64_t> &Running,
                       std::uint64_t Crash, WallTime Now);
--- a/persimmonquay/traffic/unattended_calls.cc
+++ b/persimmonquay/traffic/unattended_calls.cc
@@ -9,13 +9,13 @@
 /// Bounds memory; several times the slots of an upstream.
 constexpr std::size_t MaxUnattendedCalls = 64;
 
-bool endsEarlier(const UnattendedCall &Left, const UnattendedCall &Right) {
+bool endsEarlier(const SentCall &Left, const SentCall &Right) {
   return Left.EndsBy < Right.EndsBy;
 }
 
 } // namespace internal
 
-void UnattendedCalls::add(UnattendedCall Call) {
+void UnattendedCalls::add(SentCall Call) {
   this->Calls.push_back(std::move(Call));
   if (this->Calls.size() > internal::MaxUnattendedCalls)
     this->Calls.erase(std::min_element(this->Calls.begin(), this->Calls.end(),
@@ -23,19 +23,18 @@
 }
 
 void UnattendedCalls::removeAnswered(std::uint64_t Fingerprint) {
-  std::erase_if(this->Calls, [Fingerprint](const UnattendedCall &Call) {
+  std::erase_if(this->Calls, [Fingerprint](const SentCall &Call) {
     return Call.Fingerprint == Fingerprint;
   });
 }
 
 void UnattendedCalls::expire(MonoTime Now) {
-  std::erase_if(this->Calls, [Now](const UnattendedCall &Call) {
-    return Call.EndsBy <= Now;
-  });
+  std::erase_if(this->Calls,
+                [Now](const SentCall &Call) { return Call.EndsBy <= Now; });
 }
 
-std::vector<UnattendedCall> UnattendedCalls::takeAll() {
-  std::vector<UnattendedCall> Result = std::exchange(this->Calls, {});
+std::vector<SentCall> UnattendedCalls::takeAll() {
+  std::vector<SentCall> Result = std::exchange(this->Calls, {});
   std::reverse(Result.begin(), Result.end());
   return Result;
 }
--- a/persimmonquay/traffic/unattended_calls.h
+++ b/persimmonquay/traffic/unattended_calls.h
@@ -19,8 +19,8 @@
 
 namespace persimmonquay {
 
-/// A call that was sent to an upstream and whose end is not known.
-struct UnattendedCall {
+/// A call that was sent to an upstream.
+struct SentCall {
   std::string RequestId;
   /// See `requestFingerprint()`.
   std::uint64_t Fingerprint = 0;
@@ -34,7 +34,7 @@
 public:
   // Commands.
 
-  void add(UnattendedCall Call);
+  void add(SentCall Call);
 
   /// Removes the calls of a request that an upstream has answered, which
   /// therefore doesn't crash every upstream that runs it.
@@ -44,7 +44,7 @@
   void expire(MonoTime Now);
 
   /// Removes and returns all calls, the one added last first.
-  std::vector<UnattendedCall> takeAll();
+  std::vector<SentCall> takeAll();
 
   // Queries.
 
@@ -56,7 +56,7 @@
 
 private:
   /// In the order in which they were added.
-  std::vector<UnattendedCall> Calls;
+  std::vector<SentCall> Calls;
 };
 
 } // namespace persimmonquay
--- a/persimmonquay/traffic/unattended_calls_test.cc
+++ b/persimmonquay/traffic/unattended_calls_test.cc
@@ -8,7 +8,7 @@
 
 constexpr MonoTime Start{std::chrono::hours(1)};
 
-UnattendedCall callEndingAfter(std::uint64_t Fingerprint, Millis Duration) {
+SentCall callEndingAfter(std::uint64_t Fingerprint, Millis Duration) {
   return {absl::StrCat("call-", Fingerprint), Fingerprint, Start + Duration};
 }
 
@@ -23,7 +23,7 @@
   Calls.expire(Start + Millis(100));
   CHECK(Calls.size() == 3);
   Calls.removeAnswered(1);
-  const std::vector<UnattendedCall> Taken = Calls.takeAll();
+  const std::vector<SentCall> Taken = Calls.takeAll();
   REQUIRE(Taken.size() == 2);
   CHECK(Taken[0].Fingerprint == 3);
   CHECK(Taken[1].Fingerprint == 2);
