--- a/persimmonquay/daemon/header_names.h
+++ b/persimmonquay/daemon/header_names.h
@@ -31,6 +31,11 @@
   std::string NotExecuted = "x-pq-not-run";
   /// Service of the host that the call comes from.
   std::string CallingService = "x-pq-calling-service";
+  /// Name of the client account that the caller's key belongs to.
+  std::string Account = "x-pq-account";
+  /// In the response to a health check: how many milliseconds longer the
+  /// upstream is cold.
+  std::string ColdRemaining = "x-pq-cold-ms";
 };
 
 } // namespace persimmonquay
--- a/persimmonquay/mesh/configuration_delta.cc
+++ b/persimmonquay/mesh/configuration_delta.cc
@@ -19,6 +19,15 @@
   return Result;
 }
 
+using AccountsByName = std::map<std::string, const proto::ClientAccount *>;
+
+AccountsByName indexAccounts(const proto::MeshConfiguration &Configuration) {
+  AccountsByName Result;
+  for (const proto::ClientAccount &Account : Configuration.accounts())
+    Result[Account.name()] = &Account;
+  return Result;
+}
+
 /// Appends `Route` to the last host of the list if that is `Host`, else to a
 /// new entry for `Host`. Routes of one host must therefore follow each other.
 template <typename HostListType>
@@ -53,6 +62,18 @@
     Removed->set_host(Key.first);
     Removed->set_path_prefix(Key.second);
   }
+  const internal::AccountsByName BaseAccounts = internal::indexAccounts(Base);
+  const internal::AccountsByName NextAccounts = internal::indexAccounts(Next);
+  for (const auto &[Name, Account] : NextAccounts) {
+    const auto BaseAccount = BaseAccounts.find(Name);
+    if (BaseAccount == BaseAccounts.end() ||
+        BaseAccount->second->SerializeAsString() !=
+            Account->SerializeAsString())
+      *Result.add_changed_accounts() = *Account;
+  }
+  for (const auto &[Name, Account] : BaseAccounts)
+    if (!NextAccounts.contains(Name))
+      Result.add_removed_accounts(Name);
   return Result;
 }
 
@@ -75,6 +96,13 @@
   *Result.mutable_limits() = Delta.limits();
   for (const auto &[Key, Route] : Routes)
     internal::appendRoute(Key.first, *Route, Result.mutable_hosts());
+  internal::AccountsByName Accounts = internal::indexAccounts(Base);
+  for (const std::string &Name : Delta.removed_accounts())
+    Accounts.erase(Name);
+  for (const proto::ClientAccount &Account : Delta.changed_accounts())
+    Accounts[Account.name()] = &Account;
+  for (const auto &[Name, Account] : Accounts)
+    *Result.add_accounts() = *Account;
   return Result;
 }
 
