daemon: a second crash is noticed on a connection opened by the watch

Cause: UpstreamWatch opens a connection once the upstream is back, but the gate learned of a restart only from connections that it had opened itself. A call on the watch's connection then ran at an upstream that the gate took for ended, so its next end was not attributed.

Change: the watch reports its connection. Tests: a second crash on such a connection; a departure that only a node of another data centre remembers (passes without a change of the code).

--- a/persimmonquay/daemon/gossip.cc
+++ b/persimmonquay/daemon/gossip.cc
@@ -135,7 +135,8 @@
   }
   const bool IsLocal =
       Entry->data_centre() == this->Directory.ownEntry().data_centre();
-  // Traffic between data centres is expensive.
+  // Traffic between data centres is expensive, but the neighbours may have
+  // restarted as well and have forgotten the departures.
   if (!IsLocal && Neighbours > 0)
     return;
   const std::size_t Candidates = IsLocal ? Neighbours + 1 : Others;
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -180,6 +180,7 @@
       Crashes(KnownCrashes),
       Watch(IoContext, std::move(UpstreamAddress), this->Pool,
             UpstreamWatch::Callbacks{[this] { return this->awaitsResponse(); },
+                                     [this] { this->IsUpstreamDown = false; },
                                      [this] { this->recordCrash(); }}),
       ExpiryTimer(IoContext) {}
 
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -84,7 +84,20 @@
     REQUIRE(Condition());
   }
 
-  /// Ends the upstream's connections.
+  /// Ends the upstream: closes its connections and refuses new ones.
+  void crashUpstream() {
+    this->Address = this->Acceptor.local_endpoint();
+    this->Acceptor.close();
+    this->closeConnections();
+  }
+
+  /// Listens again after a crash.
+  void restartUpstream() {
+    this->Acceptor = Tcp::acceptor(this->Context, this->Address);
+    asio::co_spawn(
+        this->Context, [this] { return this->accept(); }, asio::detached);
+  }
+
   void closeConnections() {
     for (const std::weak_ptr<Tcp::socket> &Open : this->Sockets) {
       ErrorCode IgnoredError;
@@ -117,6 +130,7 @@
 
 private:
   std::vector<std::weak_ptr<Tcp::socket>> Sockets;
+  Tcp::endpoint Address;
 
   asio::awaitable<void> accept() {
     while (true) {
@@ -549,13 +563,37 @@
   }
   Fixture.runFor(Millis(300));
   CHECK(Fixture.Crashes.empty());
-  Fixture.Acceptor.close();
-  Fixture.closeConnections();
+  Fixture.crashUpstream();
   const MonoTime EndedAt = monoNow();
   Fixture.runUntil([&] { return Fixture.Crashes.size() == 1; });
   CHECK(monoNow() - EndedAt < Millis(1000));
 }
 
+// The next call used a connection that the watch had opened, so that the gate
+// took the upstream for the one that had ended before.
+TEST_CASE("a second crash is noticed on a connection opened by the watch") {
+  GateFixture Fixture;
+  for (const std::string Id : {"left", "first", "second"})
+    Fixture.Scripts[Id] = {.Bytes = "", .LateBytes = ""};
+  Fixture.submit("left");
+  Fixture.submit("first", Millis(5000), "POST", false);
+  Fixture.runUntil([&] { return Fixture.Received.size() == 2; });
+  Fixture.Gate.cancel(1);
+  Fixture.runFor(Millis(20));
+  Fixture.crashUpstream();
+  Fixture.runUntil([&] { return Fixture.Replies.contains("first"); });
+  CHECK(Fixture.Crashes.size() == 2);
+  Fixture.restartUpstream();
+  const int ConnectionsBefore = Fixture.Connections;
+  Fixture.runFor(Millis(400));
+  REQUIRE(Fixture.Connections > ConnectionsBefore);
+  Fixture.submit("second");
+  Fixture.runUntil([&] { return Fixture.Received.size() == 3; });
+  Fixture.crashUpstream();
+  Fixture.runUntil([&] { return Fixture.Replies.contains("second"); });
+  CHECK(Fixture.Crashes.size() == 3);
+}
+
 // An upstream that started again at once refuses no connection.
 TEST_CASE("a crash shows by a heartbeat of the next incarnation") {
   GateFixture Fixture;
--- a/persimmonquay/daemon/upstream_watch.cc
+++ b/persimmonquay/daemon/upstream_watch.cc
@@ -56,6 +56,7 @@
   if (!Error && Connection->Socket.is_open()) {
     configureConnection(Connection->Socket, UpstreamTcpTimeout);
     this->Pool.release(Connection, std::nullopt, monoNow());
+    this->Callback.OnConnected();
   }
   co_return Error != asio::error::connection_refused;
 }
--- a/persimmonquay/daemon/upstream_watch.h
+++ b/persimmonquay/daemon/upstream_watch.h
@@ -23,6 +23,8 @@
     /// Returns whether a call awaits a response, so that it would notice the
     /// end of the upstream itself.
     std::function<bool()> AwaitsResponse;
+    /// Called when a connection has been opened.
+    std::function<void()> OnConnected;
     /// Called when the upstream has ended; the watch is over then.
     std::function<void()> OnEnded;
   };
--- a/testing/platform/departures_test.cc
+++ b/testing/platform/departures_test.cc
@@ -187,6 +187,27 @@
   checkStaysUnused(Setup, ConfirmedAt);
 }
 
+// Only a node of another data centre remembers the departure.
+TEST_CASE("a departure confirmed while the store is down outlasts its data "
+          "centre") {
+  DepartureMesh Setup;
+  Setup.Mesh.store().setOutage(false);
+  TestNode &Remote = Setup.Mesh.add("orders", "v1", "there");
+  REQUIRE(eventually(WaitTimeout, [&] {
+    return Setup.Mesh.call(Remote, {.RequestId = "remote"}).Status == 200;
+  }));
+  Setup.Mesh.store().setOutage(true);
+  CHECK(Setup.Mesh.deregister(Setup.Leaver) == 200);
+  const MonoTime ConfirmedAt = monoNow();
+  for (const auto &Node : Setup.Mesh.nodes())
+    if (Node.get() != &Remote)
+      Node->Sidecar->signal(SIGKILL);
+  for (const auto &Node : Setup.Mesh.nodes())
+    if (Node.get() != &Remote)
+      Setup.restart(*Node, SIGKILL);
+  checkStaysUnused(Setup, ConfirmedAt);
+}
+
 // Nobody remembers the departure, so that only the upstream can tell.
 TEST_CASE("a leaving upstream isn't used after a restart of all nodes") {
   DepartureMesh Setup;
