accounts, daemon: callers' keys end at their node; unknown keys get 401

Change: AccountTable finds the account of a key over the configuration in force, built with each RouteTable. readCallerKey defines the outcome of every header a caller may send; decideCallerAccess decides by the key, the route and what the upstream of this host may be running. CallRouter removes the key and the account's name from a request before its call is built; the gate sets the name for the upstream. The account's priority goes before the route's. A call without a key is taken for a nested one while the upstream may be running calls. checkAccounts refuses ambiguous accounts without naming a key. Without accounts in the configuration, nothing changes.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -1,5 +1,6 @@
 #include "persimmonquay/daemon/call_router.h"
 
+#include "persimmonquay/accounts/caller_access.h"
 #include "persimmonquay/base/hashing.h"
 #include "persimmonquay/base/logging.h"
 #include "persimmonquay/daemon/caller_server.h"
@@ -59,6 +60,10 @@
 /// responses.
 constexpr double ResponseBytesWeight = 0.05;
 
+/// Time after the startup phase by which the calls have ended that the upstream
+/// was running when this node started.
+constexpr Millis EarlierCallsTime{3000};
+
 /// Timeout that is assumed for a caller that states none.
 constexpr Millis DefaultCallerTimeout{1000};
 
@@ -68,6 +73,15 @@
                             std::string_view(Message.target()), Message.body());
 }
 
+/// Returns the key in the headers of `Message`, which must outlive it.
+CallerKey callerKeyOf(const HttpRequest &Message) {
+  std::vector<std::string_view> Values;
+  const auto [First, Last] = Message.equal_range(http::field::authorization);
+  for (auto Field = First; Field != Last; ++Field)
+    Values.push_back(Field->value());
+  return readCallerKey(Values);
+}
+
 /// Also covers headers that the Connection header of `Message` names.
 bool isHopByHop(const HttpRequest &Message, std::string_view Name) {
   return isHopByHopHeader(Name) ||
@@ -206,6 +220,8 @@
   if (Call.Route == nullptr)
     return this->Responses.errorResponse(Call, 404,
                                          "no route matches host and path", {});
+  if (std::optional<HttpResponse> Rejection = this->checkAccess(Call))
+    return Rejection;
   if (!Call.Route->idempotent() && Call.Request->RequestsAhead > 0)
     return this->Responses.errorResponse(
         Call, StatusUnavailable,
@@ -239,11 +255,11 @@
   MaxTimeout = std::max(MaxTimeout, Call.CallerTimeout);
   // Calls that an upstream makes while it runs another call state a shorter
   // timeout as well, without being retries.
-  const bool IsNestedCall =
-      this->Dependencies.LocalGate.hasRunningCallWithDeadline(
-          Now + Call.CallerTimeout);
+  if (Call.Account == nullptr)
+    Call.IsNested |= this->Dependencies.LocalGate.hasRunningCallWithDeadline(
+        Now + Call.CallerTimeout);
   const Millis Elapsed =
-      IsNestedCall
+      Call.IsNested
           ? Millis{0}
           : std::max(std::chrono::duration_cast<Millis>(
                          MaxTimeout * internal::MinInitialTimeoutRatio) -
@@ -273,6 +289,39 @@
   return std::nullopt;
 }
 
+std::optional<HttpResponse> CallRouter::checkAccess(RoutedCall &Call) {
+  HttpRequest &Message = Call.Request->Message;
+  const AccountTable &Accounts = Call.Routes->accounts();
+  if (!Accounts.requiresKeys())
+    return std::nullopt;
+  const UpstreamActivity Activity =
+      this->Dependencies.LocalGate.mayBeRunningCalls()
+          ? UpstreamActivity::MayBeRunning
+      : monoNow() < this->StartupEnd + internal::EarlierCallsTime
+          ? UpstreamActivity::Unknown
+          : UpstreamActivity::Idle;
+  const CallerAccess Access =
+      decideCallerAccess(Accounts, internal::callerKeyOf(Message),
+                         Call.Route->public_access(), Activity);
+  Message.erase(http::field::authorization);
+  Message.erase(this->Dependencies.Headers.Account);
+  Call.Account = Access.Account;
+  Call.IsNested = Access.Decision == CallerAccess::Verdict::AdmittedAsNested;
+  if (Access.isAdmitted())
+    return std::nullopt;
+  if (Access.Decision == CallerAccess::Verdict::Undecided)
+    return this->Responses.errorResponse(
+        Call, StatusUnavailable,
+        "calls of the upstream can't be recognized right after the start",
+        DefaultRetryAfter);
+  return this->Responses.errorResponse(Call, StatusUnauthorized,
+                                       Access.Decision ==
+                                               CallerAccess::Verdict::UnknownKey
+                                           ? "no account has the caller's key"
+                                           : "the call has no valid key",
+                                       {});
+}
+
 CrashDecision CallRouter::crashDecision(const RoutedCall &Call) const {
   if (this->Dependencies.Crashes.empty())
     return {};
@@ -355,7 +404,12 @@
       std::chrono::duration_cast<Millis>(Call.Deadline - Now).count(), 0)));
   Result.set_objective_ms(static_cast<std::int32_t>(
       std::chrono::duration_cast<Millis>(Call.Objective - Now).count()));
-  Result.set_priority(Call.Route->priority());
+  Result.set_priority(Call.Account != nullptr && Call.Account->has_priority()
+                          ? Call.Account->priority()
+                          : Call.Route->priority());
+  if (Call.Account != nullptr)
+    Result.set_account(Call.Account->name());
+  Result.set_nested(Call.IsNested);
   Result.set_max_wait_ms(static_cast<std::uint32_t>(
       std::chrono::duration_cast<Millis>(MaxWait).count()));
   return Result;
--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -129,6 +129,10 @@
   /// Looks up the route and sets deadline, objective, service and versions of
   /// `Call`. Returns an error response if the request cannot be routed.
   std::optional<HttpResponse> prepareCall(RoutedCall &Call);
+  /// Sets the account of `Call` by its key and whether it is nested. Removes
+  /// the key and the account's name from its headers if the configuration has
+  /// accounts. Returns an error response if the call must not be routed.
+  std::optional<HttpResponse> checkAccess(RoutedCall &Call);
   /// Offers `Call` to upstreams until one responds or no further attempt is
   /// allowed. Returns the response for the caller.
   asio::awaitable<HttpResponse> forward(std::shared_ptr<RoutedCall> Call);
--- a/persimmonquay/daemon/caller_responses.cc
+++ b/persimmonquay/daemon/caller_responses.cc
@@ -98,12 +98,15 @@
              : Status == StatusBadGateway     ? RequestOutcome::Unknown
              : Status == StatusGatewayTimeout ? RequestOutcome::TimedOut
              : Status == 404                  ? RequestOutcome::NoRoute
+             : Status == StatusUnauthorized   ? RequestOutcome::Unauthorized
                                               : RequestOutcome::Malformed;
   HttpResponse Result;
   Result.result(Status);
   Result.set(http::field::content_type, "text/plain");
   if (!Call.RequestId.empty())
     Result.set(this->Headers.RequestId, Call.RequestId);
+  if (Status == StatusUnauthorized)
+    Result.set(http::field::www_authenticate, "Bearer");
   if (Status == StatusUnavailable) {
     const double Factor =
         internal::MinRetryAfterFactor +
--- a/persimmonquay/daemon/caller_responses.h
+++ b/persimmonquay/daemon/caller_responses.h
@@ -16,6 +16,9 @@
 struct RoutedCall;
 struct RouteTarget;
 
+/// The call has no key of a client account; callers don't retry it.
+inline constexpr unsigned StatusUnauthorized = 401;
+
 /// 502 and 504 leave open whether the call ran. 503 guarantees that it has not
 /// run and will not run.
 inline constexpr unsigned StatusBadGateway = 502;
--- a/persimmonquay/daemon/configuration_sync.cc
+++ b/persimmonquay/daemon/configuration_sync.cc
@@ -4,6 +4,7 @@
 #include "persimmonquay/daemon/peer_link.h"
 #include "persimmonquay/mesh/configuration_delta.h"
 #include "persimmonquay/mesh/route_table.h"
+#include <random>
 #include <utility>
 
 namespace persimmonquay {
@@ -22,11 +23,17 @@
 /// it from other nodes, reads the store itself.
 constexpr Millis StaleAfter{1200};
 
+std::uint64_t randomSeed() {
+  std::random_device Device;
+  return std::uint64_t{Device()} << 32U | Device();
+}
+
 } // namespace internal
 
 ConfigurationSync::ConfigurationSync(asio::io_context &IoContext,
                                      Callbacks NodeCallbacks)
-    : Callback(std::move(NodeCallbacks)), RequestTimer(IoContext) {}
+    : Callback(std::move(NodeCallbacks)), KeyHashSeed(internal::randomSeed()),
+      RequestTimer(IoContext) {}
 
 std::uint64_t ConfigurationSync::version() const {
   return this->Current ? this->Current->version() : 0;
@@ -35,7 +42,8 @@
 void ConfigurationSync::apply(proto::MeshConfiguration Next) {
   if (this->Current && this->version() >= Next.version())
     return;
-  this->Current = std::make_shared<const RouteTable>(std::move(Next));
+  this->Current =
+      std::make_shared<const RouteTable>(std::move(Next), this->KeyHashSeed);
   this->History.push_back(this->Current);
   const std::size_t MaxHistory =
       this->ServesPeers ? internal::HistoryLength : 1;
--- a/persimmonquay/daemon/configuration_sync.h
+++ b/persimmonquay/daemon/configuration_sync.h
@@ -78,6 +78,8 @@
   void requestNewer();
 
   Callbacks Callback;
+  /// Secret of this process; see `AccountTable`.
+  std::uint64_t KeyHashSeed;
   std::shared_ptr<const RouteTable> Current;
   ConfigurationSources Sources;
   asio::steady_timer RequestTimer;
--- a/persimmonquay/daemon/metrics.cc
+++ b/persimmonquay/daemon/metrics.cc
@@ -11,8 +11,8 @@
 
 // Values of the labels, in the order of the enumerators in metrics.h.
 
-constexpr std::array<const char *, 8> RequestOutcomeLabels = {
-    "answered",  "upstream_failed", "rejected",  "no_route",
+constexpr std::array<const char *, 9> RequestOutcomeLabels = {
+    "answered",  "upstream_failed", "rejected",  "no_route",   "unauthorized",
     "malformed", "unknown",         "timed_out", "caller_left"};
 constexpr std::array<const char *, 5> AttemptOutcomeLabels = {
     "answered", "busy", "not_run", "lost", "given_up"};
--- a/persimmonquay/daemon/metrics.h
+++ b/persimmonquay/daemon/metrics.h
@@ -23,6 +23,7 @@
   UpstreamFailed,
   Rejected,
   NoRoute,
+  Unauthorized,
   Malformed,
   Unknown,
   TimedOut,
@@ -71,7 +72,7 @@
 
 private:
   std::unique_ptr<prometheus::Registry> Registry;
-  std::array<prometheus::Counter *, 8> Requests{};
+  std::array<prometheus::Counter *, 9> Requests{};
   std::array<std::array<prometheus::Counter *, 5>, 2> Attempts{};
   std::array<prometheus::Counter *, 2> Retries{};
   std::array<prometheus::Counter *, 4> GateActions{};
--- a/persimmonquay/daemon/routed_call.h
+++ b/persimmonquay/daemon/routed_call.h
@@ -24,6 +24,10 @@
   const proto::MeshRoute *Route = nullptr;
   /// Keeps `Route` alive when a new route table becomes active.
   std::shared_ptr<const RouteTable> Routes;
+  /// Account of the caller, in `Routes`; null if it has none.
+  const proto::ClientAccount *Account = nullptr;
+  /// Whether the upstream on this host makes the call while it runs another.
+  bool IsNested = false;
   std::string Service;
   VersionFilter Versions;
   /// Time after which a response is useless to the caller.
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -408,6 +408,13 @@
   return false;
 }
 
+bool UpstreamGate::mayBeRunningCalls() const {
+  const std::optional<MonoTime> UnattendedEnd = this->Unattended.lastEnd();
+  return (UnattendedEnd && monoNow() < *UnattendedEnd) ||
+         std::any_of(this->Calls.begin(), this->Calls.end(),
+                     [](const auto &Item) { return Item.second->IsRunning; });
+}
+
 proto::LoadReport UpstreamGate::load() const {
   proto::LoadReport Report;
   Report.set_running(static_cast<std::uint32_t>(this->Queue.running()));
@@ -606,6 +613,8 @@
   Result.set(this->Headers.DeadlineRemaining,
              std::to_string(std::max<std::int64_t>(Remaining.count(), 1)));
   Result.set(this->Headers.CallingService, Request.calling_service());
+  if (!Request.account().empty())
+    Result.set(this->Headers.Account, Request.account());
   Result.set(this->Headers.ExpectedInstance, Request.instance());
   Result.body() = Request.body();
   if (!Request.body().empty() ||
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -115,6 +115,10 @@
   /// same deadline.
   bool hasRunningCallWithDeadline(MonoTime Deadline) const;
 
+  /// Returns whether the upstream may be running any call, also one whose
+  /// connection was lost or whose caller has left.
+  bool mayBeRunningCalls() const;
+
   /// Returns a WOULD_TAKE reply if the call would be admitted now, or else the
   /// rejection.
   proto::CallReply checkAdmission(const proto::CallRequest &Request) const;
--- a/persimmonquay/mesh/route_table.cc
+++ b/persimmonquay/mesh/route_table.cc
@@ -52,11 +52,13 @@
           !Status.ok())
         return Status;
   }
-  return absl::OkStatus();
+  return checkAccounts(Configuration);
 }
 
-RouteTable::RouteTable(proto::MeshConfiguration NewConfiguration)
-    : Configuration(std::move(NewConfiguration)) {
+RouteTable::RouteTable(proto::MeshConfiguration NewConfiguration,
+                       std::uint64_t KeyHashSeed)
+    : Configuration(std::move(NewConfiguration)),
+      Accounts(this->Configuration, KeyHashSeed) {
   for (const proto::VirtualHost &Host : this->Configuration.hosts()) {
     RoutesByPrefix &Routes =
         this->RoutesByHost[absl::AsciiStrToLower(Host.host())];
--- a/persimmonquay/mesh/route_table.h
+++ b/persimmonquay/mesh/route_table.h
@@ -2,6 +2,7 @@
 #ifndef PERSIMMONQUAY_MESH_ROUTE_TABLE_H
 #define PERSIMMONQUAY_MESH_ROUTE_TABLE_H
 
+#include "persimmonquay/accounts/account_table.h"
 #include "proto/mesh.pb.h"
 #include <absl/status/status.h>
 #include <string>
@@ -12,12 +13,13 @@
 
 /// Checks that every host has a name, and that every route has a path prefix
 /// that begins and ends with a slash, parts that name defined services, weights
-/// whose sum is not 0, and a timeout. Returns InvalidArgument with the first
-/// violation and its route.
+/// whose sum is not 0, and a timeout, and that the client accounts are valid;
+/// see `checkAccounts()`. Returns InvalidArgument with the first violation and
+/// its route or account.
 absl::Status checkConfiguration(const proto::MeshConfiguration &Configuration);
 
-/// The routes of one configuration, indexed by host and path prefix. Owns the
-/// configuration. Immutable, therefore thread-safe.
+/// The routes of one configuration, indexed by host and path prefix, and its
+/// client accounts. Owns the configuration. Immutable, therefore thread-safe.
 ///
 /// Example:
 ///   RouteTable Table(std::move(Configuration));
@@ -25,7 +27,9 @@
 ///     serve(*Route);
 class RouteTable {
 public:
-  explicit RouteTable(proto::MeshConfiguration NewConfiguration);
+  /// `KeyHashSeed` should be random; see `AccountTable`.
+  explicit RouteTable(proto::MeshConfiguration NewConfiguration,
+                      std::uint64_t KeyHashSeed = 0);
   RouteTable(const RouteTable &) = delete;
   RouteTable &operator=(const RouteTable &) = delete;
 
@@ -39,12 +43,14 @@
   const proto::MeshConfiguration &configuration() const {
     return this->Configuration;
   }
+  const AccountTable &accounts() const { return this->Accounts; }
 
 private:
   using RoutesByPrefix =
       std::unordered_map<std::string, const proto::MeshRoute *>;
 
   proto::MeshConfiguration Configuration;
+  AccountTable Accounts;
   std::unordered_map<std::string, RoutesByPrefix> RoutesByHost;
 };
 
--- a/testing/platform/small_mesh.cc
+++ b/testing/platform/small_mesh.cc
@@ -184,7 +184,7 @@
                      {"priority", 1},
                      {"service", Service},
                      {"max_attempts", 2}});
-  const Json Configuration = {
+  Json Configuration = {
       {"version", Version},
       {"services", Services},
       {"limits",
@@ -194,6 +194,8 @@
         {"idle_timeout_s", 15}}},
       {"virtual_hosts",
        Json::array({{{"host", "boards.example"}, {"path_rules", Rules}}})}};
+  for (const auto &[Name, Keys] : this->Accounts)
+    Configuration["tenants"].push_back({{"name", Name}, {"api_keys", Keys}});
   this->Store.put("keyed.op", "config", Configuration.dump());
 }
 
@@ -219,6 +221,8 @@
   Request.set("X-Persimmonquay-Deadline-Remaining",
               std::to_string(Options.DeadlineMs));
   Request.set("X-Persimmonquay-Calling-Service", "forged");
+  for (const auto &[Name, Value] : Options.Headers)
+    Request.add(Name, Value);
   return exchange(Node.CallerPort, Request, Options.Body);
 }
 
--- a/testing/platform/small_mesh.h
+++ b/testing/platform/small_mesh.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace persimmonquay::testing {
@@ -44,6 +45,8 @@
   std::string RequestId = "call-1";
   /// Sent as the time that remains until the call's deadline.
   std::uint32_t DeadlineMs = 5000;
+  /// Further headers.
+  std::multimap<std::string, std::string> Headers = {};
 };
 
 /// The response to a call; header names are in lower case.
@@ -80,6 +83,13 @@
   /// never report draining do; returns the status of the response.
   int deregister(TestNode &Node);
 
+  /// Sets the client accounts of configurations that are published from now on,
+  /// with their keys.
+  void
+  setAccounts(std::map<std::string, std::vector<std::string>> NewAccounts) {
+    this->Accounts = std::move(NewAccounts);
+  }
+
   /// Publishes a configuration in which host "boards.example" has routes to
   /// `Service` for the paths "/views/" (safe), "/orders/" (unsafe) and
   /// `ExtraPaths` (safe).
@@ -105,6 +115,7 @@
   StoreStandIn Store;
   std::string Directory;
   double MemoryMegabytes = 256;
+  std::map<std::string, std::vector<std::string>> Accounts;
   std::vector<std::unique_ptr<TestNode>> Nodes;
 };
 
