traffic, fleet: decisions on cold upstreams and evacuations

A cold upstream ends if it gets many more calls a second than it bears, and comes back cold. ColdStartLimiter holds what is known of an upstream's coldness and bounds the calls to it; EvacuationTable keeps the newest copy of each evacuation. Not used yet.

--- a/persimmonquay/fleet/evacuation_table.h
+++ b/persimmonquay/fleet/evacuation_table.h
@@ -3,6 +3,8 @@
 #define PERSIMMONQUAY_FLEET_EVACUATION_TABLE_H
 
 #include "proto/mesh.pb.h"
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -19,15 +21,34 @@
 /// Does no I/O and reads no clock. Not thread-safe.
 class EvacuationTable {
 public:
+  using Copies = google::protobuf::RepeatedPtrField<proto::Evacuation>;
+
+  // Commands.
+
   /// Merges a copy; returns whether it is newer than what was known.
   bool merge(const proto::Evacuation &Copy);
 
+  // Queries.
+
   /// Returns whether no calls may go to the upstreams of `DataCentre`.
   bool isEvacuated(std::string_view DataCentre) const;
 
   /// Returns the newest copy for each data centre, also of ended evacuations.
   std::vector<proto::Evacuation> all() const;
 
+  /// Returns how many data centres are evacuated.
+  std::size_t activeCount() const;
+
+  /// Returns the ends of the evacuations that are known as active but missing
+  /// in `Listed`, a complete list of the active ones. `ListNumber` is the
+  /// highest number that any record had when the list was read.
+  std::vector<proto::Evacuation>
+  endedBy(const std::vector<proto::Evacuation> &Listed,
+          std::uint64_t ListNumber) const;
+
+  /// Returns whether a copy is newer than those in `Known`, or missing there.
+  bool hasNewerThan(const Copies &Known) const;
+
 private:
   std::map<std::string, proto::Evacuation, std::less<>> Newest;
 };
--- /dev/null
+++ b/persimmonquay/traffic/cold_start_limiter.cc
@@ -0,0 +1,97 @@
+#include "persimmonquay/traffic/cold_start_limiter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace persimmonquay {
+namespace internal {
+
+/// Cold time that is assumed if the service states none.
+constexpr Millis DefaultColdDuration{5000};
+
+/// Longest cold time that is believed. Heartbeats repeat it, so that a longer
+/// one only matters if they stop.
+constexpr Millis MaxColdDuration{60000};
+
+/// Lowest rate in calls a second.
+constexpr double MinRate = 0.01;
+
+/// Longest time that a refused call is told to wait. An upstream that is only
+/// assumed to be cold is warm sooner, and nodes that come back find out.
+constexpr Millis MaxReturnDelay{1000};
+
+} // namespace internal
+
+void ColdStartLimiter::setColdUntil(MonoTime Until, MonoTime Now) {
+  if (Now >= this->ColdUntil) {
+    // A new limit starts with an empty bucket.
+    this->Pacer = CallPacer();
+    if (this->CallsPerSecond > 0)
+      this->Pacer.setLimit(this->CallsPerSecond, Now);
+  }
+  this->ColdUntil = Until;
+}
+
+void ColdStartLimiter::setLimits(Millis ColdDuration, double Rate,
+                                 MonoTime Now) {
+  this->Duration = std::min(ColdDuration, internal::MaxColdDuration);
+  const bool IsLimited = std::isfinite(Rate) && Rate > 0;
+  const double NewRate = IsLimited ? std::max(Rate, internal::MinRate) : 0;
+  if (NewRate == this->CallsPerSecond)
+    return;
+  this->CallsPerSecond = NewRate;
+  if (IsLimited)
+    this->Pacer.setLimit(NewRate, Now);
+  else
+    this->Pacer = CallPacer();
+}
+
+void ColdStartLimiter::assumeCold(MonoTime Now) {
+  const Millis Assumption = this->Duration > Millis{0}
+                                ? this->Duration
+                                : internal::DefaultColdDuration;
+  this->setColdUntil(std::max(this->ColdUntil, Now + Assumption), Now);
+  this->Assumed = true;
+}
+
+void ColdStartLimiter::recordRemaining(Millis ColdTime, MonoTime Now) {
+  this->setColdUntil(
+      Now + std::clamp(ColdTime, Millis{0}, internal::MaxColdDuration), Now);
+  this->Assumed = false;
+}
+
+void ColdStartLimiter::recordSend(MonoTime Now) {
+  if (this->isCold(Now))
+    this->Pacer.recordSend(Now);
+}
+
+Micros ColdStartLimiter::scheduleReturn(MonoTime Now) {
+  if (!this->isCold(Now))
+    return Micros{0};
+  const auto Interval = std::chrono::duration_cast<MonoTime::duration>(
+      std::chrono::duration<double>(1 / this->CallsPerSecond));
+  const MonoTime Earliest = this->startTime(0, Now);
+  MonoTime Return = std::max(this->LastReturn + Interval, Earliest);
+  // Those who come back next may not want all the room, so that the times are
+  // told again.
+  if (Return > Now + internal::MaxReturnDelay)
+    Return = std::min(Earliest, Now + internal::MaxReturnDelay);
+  this->LastReturn = Return;
+  return std::chrono::duration_cast<Micros>(std::min(Return, this->ColdUntil) -
+                                            Now);
+}
+
+Millis ColdStartLimiter::remaining(MonoTime Now) const {
+  // Rounded up, so that a cold upstream is never reported as warm.
+  return this->isCold(Now) ? std::chrono::ceil<Millis>(this->ColdUntil - Now)
+                           : Millis{0};
+}
+
+MonoTime ColdStartLimiter::startTime(std::size_t CallsAhead,
+                                     MonoTime Now) const {
+  if (!this->isCold(Now))
+    return Now;
+  return std::min(this->Pacer.startTime(CallsAhead, Now), this->ColdUntil);
+}
+
+} // namespace persimmonquay
--- /dev/null
+++ b/persimmonquay/traffic/cold_start_limiter.h
@@ -0,0 +1,104 @@
+// Bounds the calls to an upstream that is cold: slow and easily overloaded for
+// some time after its start.
+//
+// Handles these load patterns:
+//  - An upstream that has just started, among warm ones. It takes a few calls a
+//    second from all nodes together and ends if it gets many more.
+//  - All upstreams of a service cold at once under full load, for instance
+//    after all hosts have lost their power. Without a bound that holds from the
+//    first call, they end, come back cold, and end again.
+//  - Callers and nodes that come back after a refusal. They are told different
+//    times, at which there is room for one of them after the other.
+//  - An upstream that turns cold while it serves calls, or of which nobody has
+//    told whether it is cold. It is taken to be cold until it has said
+//    otherwise or the service's cold time has passed.
+#ifndef PERSIMMONQUAY_TRAFFIC_COLD_START_LIMITER_H
+#define PERSIMMONQUAY_TRAFFIC_COLD_START_LIMITER_H
+
+#include "persimmonquay/base/time.h"
+#include "persimmonquay/traffic/call_pacer.h"
+#include <cstddef>
+#include <string_view>
+
+namespace persimmonquay {
+
+/// Reason of a rejection because a cold upstream takes no further call at this
+/// moment.
+inline constexpr std::string_view ColdReason = "the upstream is cold";
+
+/// What is known of the coldness of one upstream, and the bound that follows
+/// from it. Without a rate, calls are not limited, but what is known is kept
+/// for the time when a configuration sets one.
+///
+/// Does no I/O and reads no clock. Not thread-safe.
+///
+/// Example:
+///   Limiter.setLimits(Service.Duration, Service.CallsPerSecond, Now);
+///   Limiter.assumeCold(Now);
+///   if (Limiter.mayStart(0, Now)) {
+///     Limiter.recordSend(Now);
+///     send();
+///   } else {
+///     reject(Limiter.scheduleReturn(Now));
+///   }
+class ColdStartLimiter {
+public:
+  // Commands.
+
+  /// Sets how long upstreams of the service are cold after a start, or 0 if
+  /// that is unknown, and how many calls a second a cold one takes, or 0 if it
+  /// takes any number.
+  void setLimits(Millis ColdDuration, double CallsPerSecond, MonoTime Now);
+
+  /// Takes the upstream to be cold as if it had just started.
+  void assumeCold(MonoTime Now);
+
+  /// Records how much longer the upstream is cold by its own account. Replaces
+  /// what was known or assumed. Times beyond a bound are cut to it.
+  void recordRemaining(Millis ColdTime, MonoTime Now);
+
+  /// Counts a call that is sent to the upstream now.
+  void recordSend(MonoTime Now);
+
+  /// Returns after how long a call that is refused now finds room. Each refused
+  /// call is told another time.
+  Micros scheduleReturn(MonoTime Now);
+
+  // Queries.
+
+  /// Returns whether the calls to the upstream are limited.
+  bool isCold(MonoTime Now) const {
+    return this->CallsPerSecond > 0 && Now < this->ColdUntil;
+  }
+
+  /// Returns whether the upstream is only assumed to be cold.
+  bool isAssumed(MonoTime Now) const {
+    return this->Assumed && this->isCold(Now);
+  }
+
+  /// Returns how much longer the calls are limited; 0 if they are not.
+  Millis remaining(MonoTime Now) const;
+
+  /// Returns when a call may be sent after `CallsAhead` others, `Now` or later.
+  MonoTime startTime(std::size_t CallsAhead, MonoTime Now) const;
+
+  bool mayStart(std::size_t CallsAhead, MonoTime Now) const {
+    return this->startTime(CallsAhead, Now) <= Now;
+  }
+
+private:
+  /// Extends or shortens the cold time; the bucket is empty when it begins.
+  void setColdUntil(MonoTime Until, MonoTime Now);
+
+  Millis Duration{0};
+  double CallsPerSecond = 0;
+  MonoTime ColdUntil;
+  bool Assumed = false;
+  CallPacer Pacer;
+  /// The time that was told to the last refused call.
+  MonoTime LastReturn;
+};
+
+} // namespace persimmonquay
+
+#endif // PERSIMMONQUAY_TRAFFIC_COLD_START_LIMITER_H
