daemon, platform: cold upstreams and evacuation of a data centre

Cause: after a restart of all hosts under load, upstreams came back cold, got more calls than they bear, ended and came back cold again. Nothing read the operator's evacuations.

Change: the gate holds the rate of its service's cold upstreams from its first call on. It takes the upstream to be cold after its own start, for a new incarnation, after an end, a pause of the process, missing heartbeats and an evacuation, until a heartbeat or a health check says otherwise. What doesn't fit is rejected with the time at which there is room, another for each call, and the caller's node doesn't offer calls there before. Evacuations are followed on the store, spread with every datagram, and compared; callers' nodes leave out the upstreams and gates there reject calls that aren't running. Sites without a cold rate and without evacuations are served as before.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -10,6 +10,7 @@
 #include "persimmonquay/daemon/routed_call.h"
 #include "persimmonquay/daemon/upstream_gate.h"
 #include "persimmonquay/rollout/rollout_table.h"
+#include "persimmonquay/traffic/cold_start_limiter.h"
 #include "persimmonquay/traffic/request_fingerprint.h"
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -307,6 +308,7 @@
     Call.Versions = this->Dependencies.Rollouts.baselineVersions(Call.Service);
     Available = this->Targets.candidates(Call);
   }
+  this->removeClosed(Available, Call);
   std::vector<PlacementTarget> PlacementTargets;
   PlacementTargets.reserve(Available.size());
   for (const std::shared_ptr<RouteTarget> &Target : Available)
@@ -326,6 +328,26 @@
   return Available[Offer->Index];
 }
 
+void CallRouter::removeClosed(
+    std::vector<std::shared_ptr<RouteTarget>> &Available, RoutedCall &Call) {
+  const MonoTime Now = monoNow();
+  const auto FirstClosed =
+      std::partition(Available.begin(), Available.end(),
+                     [Now](const std::shared_ptr<RouteTarget> &Target) {
+                       return Target->View.opensAt() <= Now;
+                     });
+  if (FirstClosed == Available.begin() && !Available.empty()) {
+    // Any of the times at which there is room, so that not all callers return
+    // at the first one.
+    const std::size_t Chosen = static_cast<std::size_t>(
+        this->random() * static_cast<double>(Available.size()));
+    Call.RetryAfter =
+        std::chrono::ceil<Millis>(Available[Chosen]->View.opensAt() - Now);
+    Call.LastReason = std::string(ColdReason);
+  }
+  Available.erase(FirstClosed, Available.end());
+}
+
 PlacementGoal CallRouter::placementGoal(const RoutedCall &Call) const {
   PlacementGoal Goal;
   Goal.Objective = Call.Objective;
@@ -483,8 +505,9 @@
       Target.View.isLocal(),
       Reply.outcome() == proto::ANSWERED  ? AttemptOutcome::Answered
       : Reply.outcome() == proto::UNKNOWN ? AttemptOutcome::Lost
-      : Reply.reason() == BusyReason      ? AttemptOutcome::Busy
-                                          : AttemptOutcome::NotRun);
+      : Reply.reason() == BusyReason || Reply.reason() == ColdReason
+          ? AttemptOutcome::Busy
+          : AttemptOutcome::NotRun);
   if (Reply.resent() > 0)
     this->serviceState(Call.Service).Budget.charge(Reply.resent(), Now);
   if (Reply.arrived()) {
@@ -525,10 +548,13 @@
     Target.View.recordUnavailable(Now);
     return;
   }
+  if (Reply.reason() == ColdReason)
+    Target.View.recordClosed(Now + Millis(Reply.retry_after_ms()));
   Call.Placement.recordBusy(
       {Target.Entry.node(), Target.Entry.data_centre(), Target.View},
       Micros(Reply.load().wait_us()));
-  if (!Target.View.isLocal())
+  // The other upstreams of the data centre may be warm.
+  if (!Target.View.isLocal() && Reply.reason() != ColdReason)
     this->serviceState(Call.Service)
         .RemoteBusyUntil[Target.Entry.data_centre()] =
         Now + internal::RemoteBusyBackoff;
--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -27,6 +27,7 @@
 struct CallerRequest;
 struct RoutedCall;
 struct RouteTarget;
+class EvacuationTable;
 class NodeDirectory;
 class Metrics;
 enum class RequestOutcome;
@@ -98,6 +99,12 @@
   /// nodes.
   void updateNodes(const NodeDirectory &Nodes);
 
+  /// Offers no calls to the upstreams of evacuated data centres from now on.
+  /// `Known` must outlive this object.
+  void setEvacuations(const EvacuationTable &Known) {
+    this->Targets.setEvacuations(Known);
+  }
+
   /// Closes all links.
   void stop();
 
@@ -145,6 +152,10 @@
   /// Returns the upstream to offer the call to next, or null, and sets the
   /// longest time that the call may wait there.
   std::shared_ptr<RouteTarget> nextTarget(RoutedCall &Call, Micros *MaxWait);
+  /// Removes the upstreams that are cold and take no call from this node yet.
+  /// If no other is left, sets when `Call` may be repeated.
+  void removeClosed(std::vector<std::shared_ptr<RouteTarget>> &Available,
+                    RoutedCall &Call);
   PlacementGoal placementGoal(const RoutedCall &Call) const;
   /// Returns a request that only asks whether the call would be admitted; it
   /// carries neither headers nor body.
--- a/persimmonquay/daemon/gossip.cc
+++ b/persimmonquay/daemon/gossip.cc
@@ -2,6 +2,7 @@
 
 #include "persimmonquay/base/hashing.h"
 #include "persimmonquay/base/logging.h"
+#include "persimmonquay/fleet/evacuation_table.h"
 #include "persimmonquay/fleet/node_directory.h"
 #include "persimmonquay/rollout/rollout_table.h"
 #include "persimmonquay/traffic/crash_ledger.h"
@@ -87,6 +88,9 @@
   *Result.mutable_sender() = this->Directory.ownEntry();
   Result.set_configuration_version(this->ConfigurationVersion);
   Result.set_follows_store(this->FollowsStore);
+  if (this->Evacuations != nullptr)
+    for (proto::Evacuation &Copy : this->Evacuations->all())
+      *Result.add_evacuations() = std::move(Copy);
   return Result;
 }
 
@@ -192,6 +196,21 @@
   return NewCrashes;
 }
 
+void Gossip::mergeEvacuations(const proto::GossipMessage &Message) {
+  if (this->Evacuations == nullptr || !this->Callback.OnEvacuation)
+    return;
+  bool IsNew = false;
+  for (const proto::Evacuation &Copy : Message.evacuations())
+    IsNew = this->Callback.OnEvacuation(Copy) || IsNew;
+  if (IsNew &&
+      (Message.relay() || Message.sender().data_centre() !=
+                              this->Directory.ownEntry().data_centre()))
+    this->announceLocally();
+  if (Message.wants_difference() &&
+      this->Evacuations->hasNewerThan(Message.evacuations()))
+    this->send(this->makeMessage(), Message.sender());
+}
+
 void Gossip::sendCrashes(const proto::NodeEntry &Recipient, bool IsReply) {
   proto::GossipMessage Message = this->makeMessage();
   for (const proto::CrashRecord &Record :
@@ -259,6 +278,7 @@
   else if (Message.sender().data_centre() !=
            this->Directory.ownEntry().data_centre())
     this->relay({}, {}, NewCrashes);
+  this->mergeEvacuations(Message);
   if (Message.follows_store())
     this->StoreFollowers.insert(Message.sender().node());
   else
--- a/persimmonquay/daemon/gossip.h
+++ b/persimmonquay/daemon/gossip.h
@@ -16,6 +16,7 @@
 namespace persimmonquay {
 
 class CrashLedger;
+class EvacuationTable;
 class NodeDirectory;
 class RolloutTable;
 
@@ -51,6 +52,8 @@
     /// an earlier run, and the departures of this node's upstreams.
     std::function<void(bool RemembersEarlierRun, const Departures &Known)>
         OnHistory;
+    /// Called with evacuations that may be new; returns whether they are.
+    std::function<bool(const proto::Evacuation &)> OnEvacuation = {};
   };
 
   Gossip(asio::io_context &IoContext, NodeDirectory &KnownNodes,
@@ -98,6 +101,12 @@
     this->ConfigurationVersion = Version;
   }
 
+  /// Sets the evacuations that every message carries; there are as many as data
+  /// centres that have ever been evacuated. `Known` must outlive this object.
+  void setEvacuations(const EvacuationTable &Known) {
+    this->Evacuations = &Known;
+  }
+
   /// Sets whether messages say that this node follows the operator's records.
   void setFollowsStore(bool Enabled) { this->FollowsStore = Enabled; }
 
@@ -134,6 +143,8 @@
   /// Merges the crashes of a message; returns those that are new.
   std::vector<proto::CrashRecord>
   mergeCrashes(const proto::GossipMessage &Message);
+  /// Merges the evacuations of a message and passes new ones on.
+  void mergeEvacuations(const proto::GossipMessage &Message);
   /// Sends the most important crashes that are known. `IsReply` says whether
   /// this replies to a comparison.
   void sendCrashes(const proto::NodeEntry &Recipient, bool IsReply);
@@ -153,6 +164,7 @@
   NodeDirectory &Directory;
   RolloutTable &Rollouts;
   CrashLedger &Crashes;
+  const EvacuationTable *Evacuations = nullptr;
   Callbacks Callback;
   Udp::socket Socket;
   asio::steady_timer CompareTimer;
--- a/persimmonquay/daemon/gossip_test.cc
+++ b/persimmonquay/daemon/gossip_test.cc
@@ -1,4 +1,5 @@
 #include "persimmonquay/daemon/gossip.h"
+#include "persimmonquay/fleet/evacuation_table.h"
 #include "persimmonquay/fleet/node_directory.h"
 #include "persimmonquay/rollout/rollout_table.h"
 #include "persimmonquay/traffic/crash_ledger.h"
@@ -22,7 +23,11 @@
                                  ++this->HistoryCount;
                                  this->IsRemembered |= Remembers;
                                  mergeDepartures(this->History, Known);
+                               },
+                               [this](const proto::Evacuation &Copy) {
+                                 return this->Evacuations.merge(Copy);
                                }}) {
+    this->Node.setEvacuations(this->Evacuations);
     // Reserves a port, on which the node listens once it starts.
     Udp::socket Reserved(Context,
                          Udp::endpoint(asio::ip::address_v4::loopback(), 0));
@@ -86,6 +91,7 @@
   NodeDirectory Directory;
   RolloutTable Rollouts;
   CrashLedger Crashes;
+  EvacuationTable Evacuations;
   Gossip Node;
   Udp::endpoint Address;
   /// What other nodes have said of this one's earlier runs.
@@ -330,5 +336,46 @@
   Context.run_for(Millis(50));
 }
 
+TEST_CASE("an evacuation reaches all nodes, also those that start during it") {
+  asio::io_context Context;
+  const auto RunFor = [&Context](Millis Duration) {
+    Context.restart();
+    Context.run_for(Duration);
+  };
+  GossipNode Follower(Context, "here-1", "here");
+  GossipNode Local(Context, "here-2", "here");
+  GossipNode There(Context, "there-1", "there");
+  GossipNode AlsoThere(Context, "there-2", "there");
+  const std::vector<const GossipNode *> All = {&Follower, &Local, &There,
+                                               &AlsoThere};
+  for (GossipNode *Node : {&Follower, &Local, &There, &AlsoThere}) {
+    Node->start();
+    Node->join(All);
+  }
+  RunFor(Millis(300));
+  proto::Evacuation Copy;
+  Copy.set_data_centre("there");
+  Copy.set_number(3);
+  Copy.set_active(true);
+  Follower.Evacuations.merge(Copy);
+  Follower.Node.announce();
+  // Less than the interval of comparisons: by the announcement and its relay.
+  RunFor(Millis(200));
+  for (const GossipNode *Node : All)
+    CHECK(Node->Evacuations.isEvacuated("there"));
+  GossipNode Late(Context, "there-3", "there");
+  Late.start();
+  Late.join({&There});
+  RunFor(Millis(200));
+  CHECK(Late.Evacuations.isEvacuated("there"));
+  Copy.set_number(5);
+  Copy.set_active(false);
+  Late.Evacuations.merge(Copy);
+  Late.Node.announce();
+  RunFor(Millis(200));
+  for (const GossipNode *Node : All)
+    CHECK_FALSE(Node->Evacuations.isEvacuated("there"));
+}
+
 } // namespace
 } // namespace persimmonquay
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -17,6 +17,14 @@
 /// earlier by refusing connections.
 constexpr int MaxMissedHeartbeats = 6;
 
+/// Number of heartbeats that may be missing before the upstream is asked
+/// whether it has turned cold.
+constexpr double MaxMissedBeforeColdCheck = 2.5;
+
+/// Maximum number of data centres whose evacuations are kept. Every datagram
+/// carries them.
+constexpr std::size_t MaxEvacuations = 64;
+
 /// Interval at which the node checks whether the upstream's heartbeats are
 /// missing.
 constexpr Millis UpstreamWatchInterval{500};
@@ -210,6 +218,9 @@
                      },
                      [this](bool RemembersEarlierRun, const Departures &Known) {
                        this->handleHistory(RemembersEarlierRun, Known);
+                     },
+                     [this](const proto::Evacuation &Copy) {
+                       return this->mergeEvacuation(Copy);
                      }}),
       Driver(Setup.Context, this->Directory, this->Rollouts, this->NodeGossip,
              this->Gate,
@@ -227,6 +238,8 @@
   this->Router.setConnectHandler(
       [this](const std::string &Node) { this->NodeGossip.welcome(Node); });
   this->Router.updateNodes(this->Directory);
+  this->Router.setEvacuations(this->Evacuations);
+  this->NodeGossip.setEvacuations(this->Evacuations);
   this->Gate.setCrashHandler([this](const CrashLedger::Records &Attributed) {
     this->handleCrash(Attributed);
   });
@@ -307,6 +320,7 @@
   this->ConfigurationAppliedAt = monoNow();
   this->NodeGossip.setConfigurationVersion(Routes->version());
   this->Router.setRoutes(std::move(Routes));
+  this->updateColdLimits();
   this->checkStoredUpstream();
   if (this->UncheckedHeartbeat)
     asio::co_spawn(
@@ -379,6 +393,42 @@
     this->NodeGossip.broadcastProgress(*NewProgress);
 }
 
+bool MeshNode::mergeEvacuation(const proto::Evacuation &Copy) {
+  const std::vector<proto::Evacuation> Known = this->Evacuations.all();
+  const bool IsKnown =
+      std::any_of(Known.begin(), Known.end(), [&](const auto &Other) {
+        return Other.data_centre() == Copy.data_centre();
+      });
+  if (!IsKnown && Known.size() >= internal::MaxEvacuations) {
+    logLine(LogLevel::Error, "evacuation ignored: there are too many",
+            {{"evacuated", Copy.data_centre()}});
+    return false;
+  }
+  if (!this->Evacuations.merge(Copy))
+    return false;
+  logLine(LogLevel::Warning,
+          Copy.active() ? "data centre evacuated" : "evacuation has ended",
+          {{"evacuated", Copy.data_centre()},
+           {"number", std::to_string(Copy.number())}});
+  if (Copy.data_centre() != this->Settings.data_centre())
+    return true;
+  this->Gate.setEvacuated(Copy.active());
+  this->resolveColdDoubt();
+  return true;
+}
+
+void MeshNode::addEvacuation(const proto::Evacuation &Copy) {
+  if (this->mergeEvacuation(Copy))
+    this->NodeGossip.announce();
+}
+
+void MeshNode::applyEvacuationList(const std::vector<proto::Evacuation> &Active,
+                                   std::uint64_t ListNumber) {
+  for (const proto::Evacuation &End :
+       this->Evacuations.endedBy(Active, ListNumber))
+    this->addEvacuation(End);
+}
+
 void MeshNode::mergeStoredNodes(const std::vector<proto::NodeEntry> &Entries) {
   this->KnownHistory.recordStoredEntries(!Entries.empty());
   const MonoTime Now = monoNow();
@@ -486,14 +536,56 @@
   this->checkStoredUpstream();
 }
 
-std::string MeshNode::healthPath() const {
+const proto::MeshService *MeshNode::ownService() const {
   if (!this->Router.routes())
-    return {};
+    return nullptr;
   for (const proto::MeshService &Service :
        this->Router.routes()->configuration().services())
     if (Service.name() == this->Settings.service())
-      return Service.health_path();
-  return {};
+      return &Service;
+  return nullptr;
+}
+
+std::string MeshNode::healthPath() const {
+  const proto::MeshService *Service = this->ownService();
+  return Service == nullptr ? std::string() : Service->health_path();
+}
+
+void MeshNode::updateColdLimits() {
+  const proto::MeshService *Service = this->ownService();
+  if (Service != nullptr)
+    this->Gate.setColdLimits(Millis(Service->cold_duration_ms()),
+                             Service->cold_rate_per_s());
+}
+
+void MeshNode::resolveColdDoubt(bool HeartbeatsMissing) {
+  const proto::MeshService *Service = this->ownService();
+  const bool IsInDoubt = this->Gate.isColdAssumed() || HeartbeatsMissing;
+  if (!IsInDoubt || Service == nullptr || Service->cold_rate_per_s() <= 0 ||
+      Service->health_path().empty() || this->Stopping ||
+      std::exchange(this->IsCheckingColdness, true))
+    return;
+  asio::co_spawn(
+      this->Context,
+      [this, Path = Service->health_path(), HeartbeatsMissing] {
+        return this->checkColdness(Path, HeartbeatsMissing);
+      },
+      asio::detached);
+}
+
+asio::awaitable<void> MeshNode::checkColdness(std::string HealthPath,
+                                              bool HeartbeatsMissing) {
+  const bool HadEnded = this->Gate.hasUpstreamEnded();
+  const UpstreamHealth Health = co_await checkUpstream(
+      this->Context, this->UpstreamAddress, std::move(HealthPath), this->Names);
+  this->IsCheckingColdness = false;
+  // The response may have been sent before an end that was noticed since.
+  if (Health.ColdRemaining && this->Gate.upstream() &&
+      Health.RespondingInstance == this->Gate.upstream()->instance() &&
+      HadEnded == this->Gate.hasUpstreamEnded())
+    this->Gate.recordColdRemaining(*Health.ColdRemaining, "health check");
+  else if (HeartbeatsMissing)
+    this->Gate.assumeCold("its heartbeats are missing");
 }
 
 void MeshNode::checkStoredUpstream() {
@@ -512,17 +604,21 @@
 asio::awaitable<void> MeshNode::restoreIfSameInstance(std::string HealthPath) {
   const proto::UpstreamEntry Stored =
       *std::exchange(this->StoredUpstream, std::nullopt);
-  const std::optional<std::string> RespondingInstance = co_await checkUpstream(
+  const UpstreamHealth Health = co_await checkUpstream(
       this->Context, this->UpstreamAddress, std::move(HealthPath), this->Names);
+  const std::optional<std::string> &RespondingInstance = Health.HealthyInstance;
   const bool IsSameInstance = RespondingInstance == Stored.instance();
   logLine(
       LogLevel::Info, "stored upstream checked",
       {{"instance", Stored.instance()},
        {"answering", RespondingInstance.value_or("none")},
        {"outcome", IsSameInstance ? "restored" : "its heartbeat is awaited"}});
-  if (IsSameInstance && !this->Stopping &&
-      this->Registry.restore(Stored, monoNow()))
-    this->handleUpstreamChange();
+  if (!IsSameInstance || this->Stopping ||
+      !this->Registry.restore(Stored, monoNow()))
+    co_return;
+  this->handleUpstreamChange();
+  if (Health.ColdRemaining)
+    this->Gate.recordColdRemaining(*Health.ColdRemaining, "health check");
 }
 
 asio::awaitable<bool> MeshNode::awaitDepartures() {
@@ -553,8 +649,10 @@
     this->UncheckedHeartbeat = Received;
     co_return false;
   }
-  const std::optional<std::string> RespondingInstance = co_await checkUpstream(
-      this->Context, this->UpstreamAddress, Path, this->Names);
+  const std::optional<std::string> RespondingInstance =
+      (co_await checkUpstream(this->Context, this->UpstreamAddress, Path,
+                              this->Names))
+          .HealthyInstance;
   const bool IsConfirmed = RespondingInstance == Instance;
   logLine(LogLevel::Info, "heartbeat checked",
           {{"instance", Instance},
@@ -572,6 +670,8 @@
     co_return;
   if (this->Registry.apply(Received, monoNow()))
     this->handleUpstreamChange();
+  if (this->Registry.isLatest(Received) && !this->Gate.hasUpstreamEnded())
+    this->Gate.recordColdRemaining(Received.ColdRemaining, "heartbeat");
   if (!Received.Draining)
     co_return;
   this->updateOwnEntry();
@@ -644,14 +744,28 @@
   const Millis MaxSilence(
       static_cast<std::int64_t>(this->Settings.registration_interval_s() *
                                 1000 * internal::MaxMissedHeartbeats));
+  const Millis HeartbeatInterval(static_cast<std::int64_t>(
+      this->Settings.registration_interval_s() * 1000));
   while (!this->Stopping) {
     this->WatchTimer.expires_after(internal::UpstreamWatchInterval);
     co_await this->WatchTimer.async_wait(NoThrow);
     // After a pause of this process, heartbeats may wait to be read.
-    if (monoNow() - this->WatchTimer.expiry() > internal::UpstreamWatchInterval)
+    const auto Pause = monoNow() - this->WatchTimer.expiry();
+    if (Pause > internal::UpstreamWatchInterval) {
+      if (Pause > HeartbeatInterval)
+        this->Gate.assumeCold("this process has been paused");
+      this->resolveColdDoubt();
       continue;
+    }
     if (this->Registry.expire(MaxSilence, monoNow()))
       this->handleUpstreamChange();
+    const MonoTime Now = monoNow();
+    const bool HeartbeatsMissing =
+        Now - std::max(this->Registry.lastSeenAt(), this->SilenceCheckedAt) >
+        HeartbeatInterval * internal::MaxMissedBeforeColdCheck;
+    if (HeartbeatsMissing)
+      this->SilenceCheckedAt = Now;
+    this->resolveColdDoubt(HeartbeatsMissing);
     if (monoNow() - this->TrafficLoggedAt >= internal::TrafficLogInterval)
       this->logTraffic();
   }
@@ -680,6 +794,15 @@
                   "Calls a second that the own upstream takes, 0 if it names "
                   "no limit",
                   Load.limit_per_s());
+  Gauges.setGauge("pq_upstream_cold_seconds",
+                  "How much longer the own upstream is cold",
+                  Load.cold_ms() / 1000.0);
+  Gauges.setGauge("pq_upstream_cold_rejections",
+                  "Calls rejected because the own upstream was cold",
+                  static_cast<double>(this->Gate.coldRejections()));
+  Gauges.setGauge("pq_evacuated_data_centres",
+                  "Data centres that the operator has evacuated",
+                  static_cast<double>(this->Evacuations.activeCount()));
   Gauges.setGauge("pq_configuration_version", "Configuration in force",
                   this->Router.routes()
                       ? static_cast<double>(this->Router.routes()->version())
--- a/persimmonquay/daemon/mesh_node.h
+++ b/persimmonquay/daemon/mesh_node.h
@@ -13,6 +13,7 @@
 #include "persimmonquay/daemon/rollout_driver.h"
 #include "persimmonquay/daemon/upstream_gate.h"
 #include "persimmonquay/fleet/earlier_run.h"
+#include "persimmonquay/fleet/evacuation_table.h"
 #include "persimmonquay/fleet/node_directory.h"
 #include "persimmonquay/fleet/upstream_registry.h"
 #include "persimmonquay/rollout/rollout_table.h"
@@ -88,6 +89,15 @@
   /// Adds a rollout order and passes a new one on to the other nodes.
   void addRolloutOrder(const proto::RolloutOrder &Order);
 
+  /// Adds an evacuation, or the end of one, and passes a new one on to the
+  /// other nodes.
+  void addEvacuation(const proto::Evacuation &Copy);
+
+  /// Ends the evacuations that a complete list on the store doesn't hold; see
+  /// `EvacuationTable::endedBy()`.
+  void applyEvacuationList(const std::vector<proto::Evacuation> &Active,
+                           std::uint64_t ListNumber);
+
   /// Merges stored entries of other nodes and joins the mesh through those that
   /// are new or newer than the known ones. Called after `restoreOwnEntry()`.
   void mergeStoredNodes(const std::vector<proto::NodeEntry> &Entries);
@@ -144,6 +154,8 @@
   /// Returns the path of health checks of this node's service; empty if it is
   /// not known.
   std::string healthPath() const;
+  /// Returns the configuration of this node's service, or null.
+  const proto::MeshService *ownService() const;
   /// Adds departures that another node remembers; see `Gossip::Callbacks`.
   void handleHistory(bool RemembersEarlierRun, const Departures &Known);
   /// Stores this node's entry in the background.
@@ -156,6 +168,17 @@
   void handleUpstreamChange();
   void updateOwnEntry();
   void handleDirectoryChange();
+  /// Merges an evacuation; returns whether it is new.
+  bool mergeEvacuation(const proto::Evacuation &Copy);
+  /// Sets the limits on the own upstream while it is cold from the
+  /// configuration.
+  void updateColdLimits();
+  /// Asks the upstream by a health check whether it is cold, if that is only
+  /// assumed or if its heartbeats are missing. In the latter case it is taken
+  /// to be cold unless it answers.
+  void resolveColdDoubt(bool HeartbeatsMissing = false);
+  asio::awaitable<void> checkColdness(std::string HealthPath,
+                                      bool HeartbeatsMissing);
   /// Drains an upstream that has said in a response that it leaves.
   void handleLeaving(const proto::UpstreamEntry &Leaving);
   /// Spreads crashes that this node has seen, and stores those for which
@@ -184,6 +207,7 @@
   std::optional<proto::UpstreamEntry> StoredUpstream;
   RolloutTable Rollouts;
   CrashLedger Crashes;
+  EvacuationTable Evacuations;
   UpstreamGate Gate;
   ConfigurationSync ConfigSync;
   CallRouter Router;
@@ -202,6 +226,9 @@
   std::optional<MonoTime> StoredNodesReadAt;
   /// A heartbeat whose health check waits for the configuration.
   std::optional<Heartbeat> UncheckedHeartbeat;
+  bool IsCheckingColdness = false;
+  /// When the upstream was last asked although no heartbeat had been due.
+  MonoTime SilenceCheckedAt;
   MonoTime StartedAt;
   MonoTime ConfigurationAppliedAt;
   MonoTime TrafficLoggedAt;
--- a/persimmonquay/daemon/target_table.cc
+++ b/persimmonquay/daemon/target_table.cc
@@ -3,6 +3,7 @@
 #include "persimmonquay/base/logging.h"
 #include "persimmonquay/daemon/peer_link.h"
 #include "persimmonquay/daemon/routed_call.h"
+#include "persimmonquay/fleet/evacuation_table.h"
 #include "persimmonquay/fleet/node_directory.h"
 #include <algorithm>
 #include <iterator>
@@ -174,7 +175,9 @@
         Target->Entry.leaving() || Call.ExcludedNodes.contains(Node) ||
         !Call.Versions.allows(Upstream.version()) ||
         (!Call.Versions.Required && Upstream.version() != Base) ||
-        (Target->Link && !Target->Link->isUp()))
+        (Target->Link && !Target->Link->isUp()) ||
+        (this->Evacuations != nullptr &&
+         this->Evacuations->isEvacuated(Target->Entry.data_centre())))
       continue;
     Result.push_back(Target);
   }
--- a/persimmonquay/daemon/target_table.h
+++ b/persimmonquay/daemon/target_table.h
@@ -17,6 +17,7 @@
 
 namespace persimmonquay {
 
+class EvacuationTable;
 class NodeDirectory;
 class PeerLink;
 struct LinkTraffic;
@@ -46,6 +47,12 @@
   /// reopens links to nodes whose address has changed.
   void update(const NodeDirectory &Nodes);
 
+  /// Leaves out the upstreams of evacuated data centres from now on. `Known`
+  /// must outlive this object.
+  void setEvacuations(const EvacuationTable &Known) {
+    this->Evacuations = &Known;
+  }
+
   /// Closes all links.
   void stop();
 
@@ -92,6 +99,7 @@
   ConnectHandler OnConnected;
   std::map<std::string, std::shared_ptr<RouteTarget>> Targets;
   UpstreamNotices Notices;
+  const EvacuationTable *Evacuations = nullptr;
   /// Earliest upstream start that was seen, in Unix milliseconds, by service
   /// and version.
   std::map<std::string, std::map<std::string, std::uint64_t>> FirstStarts;
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -190,6 +190,8 @@
   if (this->Stopping ||
       this->mightBeCut(Request, monoNow() + Millis(Request.remaining_ms())))
     return std::string(StoppingReason);
+  if (this->Evacuated)
+    return std::string(EvacuatedReason);
   if (!this->Upstream)
     return "no upstream is registered";
   if (this->Upstream->draining())
@@ -231,8 +233,14 @@
   Reply.set_outcome(proto::WOULD_TAKE);
   *Reply.mutable_load() = this->load();
   std::optional<std::string> Reason = this->unavailableReason(Request);
-  if (!Reason) {
-    const MonoTime Now = monoNow();
+  const MonoTime Now = monoNow();
+  const MonoTime ColdStartTime =
+      this->ColdStart.startTime(this->Queue.waiting(), Now);
+  if (!Reason && ColdStartTime > Now) {
+    Reason = std::string(ColdReason);
+    Reply.set_retry_after_ms(static_cast<std::uint32_t>(
+        std::chrono::ceil<Millis>(ColdStartTime - Now).count()));
+  } else if (!Reason) {
     const std::optional<RejectedCall> Rejection = this->Queue.whyRejected(
         this->queuedCall(0, Request, Now), Millis(Request.max_wait_ms()), Now);
     if (!Rejection)
@@ -271,6 +279,11 @@
   }
   if (!this->HasReadLimit && NewCall->Request.known_limit_per_s() > 0)
     this->setLimit(NewCall->Request.known_limit_per_s());
+  // Not queued: the calls that wait for a slot may all start.
+  if (!this->ColdStart.mayStart(this->Queue.waiting(), Now)) {
+    this->reject({Ticket, ColdReason, this->ColdStart.scheduleReturn(Now)});
+    return;
+  }
   if (!this->Crashes.empty() && !this->passesCrashCheck(NewCall, MaxWait))
     return;
   const Admission Result = this->Queue.offer(
@@ -380,6 +393,8 @@
     this->setLimit(std::nullopt);
   }
   this->Upstream = std::move(Entry);
+  if (Replaced)
+    this->assumeCold("another incarnation has registered");
   this->UnreachableUntil = MonoTime{};
   if (!this->Upstream || this->Upstream->draining())
     this->rejectWaiting("the upstream drains");
@@ -388,11 +403,74 @@
   this->startQueuedCalls();
 }
 
+void UpstreamGate::setColdLimits(Millis Duration, double CallsPerSecond) {
+  const MonoTime Now = monoNow();
+  const bool WasCold = this->ColdStart.isCold(Now);
+  this->ColdStart.setLimits(Duration, CallsPerSecond, Now);
+  if (!WasCold && this->ColdStart.isCold(Now))
+    this->rejectForCold();
+}
+
+void UpstreamGate::assumeCold(std::string_view Cause) {
+  const MonoTime Now = monoNow();
+  const bool WasCold = this->ColdStart.isCold(Now);
+  const bool WasAssumed = this->ColdStart.isAssumed(Now);
+  this->ColdStart.assumeCold(Now);
+  if (!this->ColdStart.isCold(Now))
+    return;
+  if (!WasAssumed)
+    logLine(
+        LogLevel::Info, "upstream taken to be cold",
+        {{"instance", this->Upstream ? this->Upstream->instance() : ""},
+         {"cause", std::string(Cause)},
+         {"cold_ms", std::to_string(this->ColdStart.remaining(Now).count())}});
+  if (!WasCold)
+    this->rejectForCold();
+}
+
+void UpstreamGate::recordColdRemaining(Millis Remaining,
+                                       std::string_view Source) {
+  const MonoTime Now = monoNow();
+  const bool WasCold = this->ColdStart.isCold(Now);
+  const bool WasAssumed = this->ColdStart.isAssumed(Now);
+  this->ColdStart.recordRemaining(Remaining, Now);
+  const bool IsCold = this->ColdStart.isCold(Now);
+  if (IsCold != WasCold || WasAssumed)
+    logLine(
+        LogLevel::Info,
+        IsCold ? "upstream says it is cold" : "upstream says it is warm",
+        {{"instance", this->Upstream ? this->Upstream->instance() : ""},
+         {"source", std::string(Source)},
+         {"assumed_before", WasAssumed ? "yes" : "no"},
+         {"cold_ms", std::to_string(this->ColdStart.remaining(Now).count())}});
+  if (IsCold && !WasCold)
+    this->rejectForCold();
+  else if (WasCold && !IsCold)
+    this->startQueuedCalls();
+}
+
+void UpstreamGate::setEvacuated(bool Enabled) {
+  if (std::exchange(this->Evacuated, Enabled) == Enabled)
+    return;
+  if (Enabled)
+    this->rejectWaiting(EvacuatedReason);
+  else
+    this->assumeCold("the evacuation has ended");
+}
+
 void UpstreamGate::stopAdmitting() {
   this->Stopping = true;
   this->rejectWaiting(StoppingReason);
 }
 
+void UpstreamGate::rejectForCold() {
+  const MonoTime Now = monoNow();
+  for (RejectedCall &Rejection : this->Queue.clear(ColdReason)) {
+    Rejection.RetryAfter = this->ColdStart.scheduleReturn(Now);
+    this->reject(Rejection);
+  }
+}
+
 void UpstreamGate::rejectWaiting(std::string_view Reason) {
   this->rejectAll(this->Queue.clear(Reason));
   for (const std::uint64_t Ticket : std::exchange(this->HeldSuspects, {}))
@@ -413,8 +491,13 @@
   Report.set_running(static_cast<std::uint32_t>(this->Queue.running()));
   Report.set_waiting(static_cast<std::uint32_t>(this->Queue.waiting()));
   Report.set_slots(static_cast<std::uint32_t>(this->Queue.slots()));
+  const MonoTime Now = monoNow();
+  const Micros ColdWait = std::chrono::duration_cast<Micros>(
+      this->ColdStart.startTime(this->Queue.waiting(), Now) - Now);
   Report.set_wait_us(static_cast<std::uint32_t>(std::min<std::int64_t>(
-      this->Queue.predictedWait(monoNow()).count(), UINT32_MAX)));
+      std::max(this->Queue.predictedWait(Now), ColdWait).count(), UINT32_MAX)));
+  Report.set_cold_ms(
+      static_cast<std::uint32_t>(this->ColdStart.remaining(Now).count()));
   Report.set_failed_permille(
       static_cast<std::uint32_t>(std::lround(this->FailureRate * 1000)));
   Report.set_limit_per_s(this->Queue.rateLimit().value_or(0));
@@ -428,9 +511,10 @@
   const std::shared_ptr<Call> ActiveCall = Found->second;
   this->Calls.erase(Found);
   this->Counters.recordGateAction(GateAction::Rejected);
-  // A busy rejection only tells the router to try another upstream; the router
+  this->ColdRejections += Rejection.Reason == ColdReason;
+  // Such a rejection only tells the router to try another upstream; the router
   // logs the outcome of the call.
-  if (Rejection.Reason != BusyReason)
+  if (Rejection.Reason != BusyReason && Rejection.Reason != ColdReason)
     logLine(
         LogLevel::Info, "call rejected before the upstream",
         {{"request", ActiveCall->Request.request_id()},
@@ -443,8 +527,9 @@
   proto::CallReply Reply;
   Reply.set_outcome(proto::NOT_RUN);
   Reply.set_reason(std::string(Rejection.Reason));
+  // Rounded up: 0 means never.
   Reply.set_retry_after_ms(static_cast<std::uint32_t>(
-      std::chrono::duration_cast<Millis>(Rejection.RetryAfter).count()));
+      std::chrono::ceil<Millis>(Rejection.RetryAfter).count()));
   if (Rejection.Reason == CrashReason)
     this->addCrashes(*ActiveCall, Reply);
   this->reply(*ActiveCall, std::move(Reply));
@@ -475,6 +560,7 @@
   const std::shared_ptr<Call> ActiveCall = this->Calls.at(Ticket);
   ActiveCall->IsRunning = true;
   ActiveCall->StartTime = monoNow();
+  this->ColdStart.recordSend(ActiveCall->StartTime);
   this->Counters.recordGateAction(GateAction::Started);
   this->Counters.recordGateWait(std::chrono::duration_cast<Micros>(
       ActiveCall->StartTime - ActiveCall->ArrivalTime));
@@ -486,16 +572,24 @@
 void UpstreamGate::startQueuedCalls() {
   const MonoTime Now = monoNow();
   this->rejectAll(this->Queue.expire(Now));
-  while (const std::optional<std::uint64_t> Next = this->Queue.startNext(Now))
+  while (this->ColdStart.mayStart(0, Now)) {
+    const std::optional<std::uint64_t> Next = this->Queue.startNext(Now);
+    if (!Next)
+      break;
     if (this->mayStillStart(*Next))
       this->start(*Next);
+  }
   this->armExpiryTimer();
 }
 
 void UpstreamGate::armExpiryTimer() {
   std::optional<MonoTime> Next = this->Queue.nextExpiry();
-  if (const std::optional<MonoTime> Start = this->Queue.nextStart(monoNow()))
-    Next = Next ? std::min(*Next, *Start) : *Start;
+  const MonoTime Now = monoNow();
+  if (const std::optional<MonoTime> QueueStart = this->Queue.nextStart(Now)) {
+    const MonoTime Start =
+        std::max(*QueueStart, this->ColdStart.startTime(0, Now));
+    Next = Next ? std::min(*Next, Start) : Start;
+  }
   if (!Next) {
     this->ExpiryTimer.cancel();
     return;
@@ -531,7 +625,9 @@
   if (!Connection->Socket.is_open())
     co_return asio::error::operation_aborted;
   configureConnection(Connection->Socket, UpstreamTcpTimeout);
-  this->IsUpstreamDown = false;
+  // It may have come back at any time since the last attempt.
+  if (std::exchange(this->IsUpstreamDown, false))
+    this->assumeCold("it can be reached again");
   co_return ErrorCode();
 }
 
@@ -557,6 +653,7 @@
   this->IsUpstreamDown = true;
   this->HasRecordedCrash = true;
   this->UnreachableUntil = monoNow() + internal::UnreachableBackoff;
+  this->assumeCold("it refuses connections");
   std::vector<SentCall> Running;
   for (const auto &[Ticket, ActiveCall] : this->Calls)
     if (std::exchange(ActiveCall->MayBeRunning, false))
@@ -732,7 +829,7 @@
   return IdleBeforeUse && *IdleBeforeUse >= internal::MinIdleToResend &&
          ActiveCall.Request.idempotent() && !ActiveCall.IsCancelled &&
          Now < ActiveCall.Deadline && Now >= this->ResendPausedUntil &&
-         !MayCrashUpstream;
+         !MayCrashUpstream && this->ColdStart.mayStart(0, Now);
 }
 
 asio::awaitable<void> UpstreamGate::run(std::shared_ptr<Call> ActiveCall) {
@@ -766,6 +863,7 @@
     if (WantsResend && IsReconnected && !ActiveCall->IsCancelled) {
       ++Resent;
       this->Queue.recordResend(monoNow());
+      this->ColdStart.recordSend(monoNow());
       continue;
     }
     Reply = this->evaluate(*ActiveCall, std::move(Result));
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -10,6 +10,7 @@
 #include "persimmonquay/daemon/upstream_connection_pool.h"
 #include "persimmonquay/daemon/upstream_watch.h"
 #include "persimmonquay/traffic/admission_queue.h"
+#include "persimmonquay/traffic/cold_start_limiter.h"
 #include "persimmonquay/traffic/crash_ledger.h"
 #include "persimmonquay/traffic/processing_time_estimate.h"
 #include "persimmonquay/traffic/response_memory.h"
@@ -30,6 +31,10 @@
 /// Reason of a rejection because the node is shutting down.
 inline constexpr std::string_view StoppingReason = "the node stops";
 
+/// Reason of a rejection because the operator has evacuated the data centre.
+inline constexpr std::string_view EvacuatedReason =
+    "the data centre is evacuated";
+
 /// Result of one call that reached the upstream.
 struct UpstreamCallResult {
   std::string Route;
@@ -86,6 +91,22 @@
   /// down.
   void stopAdmitting();
 
+  /// Sets how long upstreams of the service are cold after a start and how many
+  /// calls a second a cold one takes; see `ColdStartLimiter::setLimits()`.
+  void setColdLimits(Millis Duration, double CallsPerSecond);
+
+  /// Takes the upstream to be cold, as if it had just started. `Cause` says in
+  /// the log why.
+  void assumeCold(std::string_view Cause);
+
+  /// Records how much longer the upstream is cold, as it said itself. `Source`
+  /// says in the log where.
+  void recordColdRemaining(Millis Remaining, std::string_view Source);
+
+  /// Sets whether the operator has evacuated this data centre: no call that is
+  /// not running may run then.
+  void setEvacuated(bool Enabled);
+
   /// Sets the size of the largest response body that is accepted. All responses
   /// that are being received may take a fixed multiple of it.
   void setMaxResponseBytes(std::uint64_t Bytes);
@@ -120,6 +141,13 @@
   proto::CallReply checkAdmission(const proto::CallRequest &Request) const;
 
   proto::LoadReport load() const;
+  /// Returns whether the registered incarnation of the upstream has ended as
+  /// far as is known, so that its heartbeats were sent before that.
+  bool hasUpstreamEnded() const { return this->HasRecordedCrash; }
+  /// Returns whether the upstream is only assumed to be cold.
+  bool isColdAssumed() const { return this->ColdStart.isAssumed(monoNow()); }
+  /// Returns the number of calls rejected because the upstream was cold.
+  std::uint64_t coldRejections() const { return this->ColdRejections; }
   std::size_t callsInFlight() const { return this->Calls.size(); }
   const std::optional<proto::UpstreamEntry> &upstream() const {
     return this->Upstream;
@@ -159,6 +187,8 @@
   void startQueuedCalls();
   void reject(const RejectedCall &Rejection);
   void rejectAll(const std::vector<RejectedCall> &Rejections);
+  /// Rejects the calls that wait for a slot after the upstream has turned cold.
+  void rejectForCold();
   /// Rejects all calls that are not running.
   void rejectWaiting(std::string_view Reason);
   /// Adds the crashes that are attributed to the call's request.
@@ -222,6 +252,7 @@
   Tcp::endpoint Address;
   std::optional<proto::UpstreamEntry> Upstream;
   bool Stopping = false;
+  bool Evacuated = false;
   /// See `rejectCallsPast()`.
   MonoTime ShutdownEnd = MonoTime::max();
   std::uint64_t MaxResponseBytes;
@@ -242,6 +273,8 @@
   /// The suspects that wait for its end.
   std::deque<std::uint64_t> HeldSuspects;
   AdmissionQueue Queue{0};
+  ColdStartLimiter ColdStart;
+  std::uint64_t ColdRejections = 0;
   /// Whether the upstream itself has told its limit, or that it has none, since
   /// this node has known it.
   bool HasReadLimit = false;
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -93,6 +93,15 @@
     }
   }
 
+  /// Starts the upstream again after its acceptor has been closed.
+  void listenAgain(const Tcp::endpoint &Address) {
+    // Without anything to wait for, it has stopped.
+    this->Context.restart();
+    this->Acceptor = Tcp::acceptor(this->Context, Address);
+    asio::co_spawn(
+        this->Context, [this] { return this->accept(); }, asio::detached);
+  }
+
   void runFor(Millis Duration) {
     const MonoTime End = monoNow() + Duration;
     while (monoNow() < End)
@@ -658,5 +667,114 @@
   CHECK(Fixture.Connections == 2);
 }
 
+// The service's cold time and rate in the tests on cold upstreams.
+constexpr Millis ColdTime(1500);
+constexpr double ColdRate = 20;
+
+/// Submits a call every few milliseconds; returns the number submitted.
+int submitFor(GateFixture &Fixture, Millis Duration) {
+  static int Count = 0;
+  const int FirstCount = Count;
+  const MonoTime End = monoNow() + Duration;
+  while (monoNow() < End) {
+    Fixture.submit(absl::StrCat("load-", ++Count));
+    Fixture.runFor(Millis(5));
+  }
+  return Count - FirstCount;
+}
+
+TEST_CASE("a gate holds the bound on a cold upstream from its first call") {
+  GateFixture Fixture(100);
+  Fixture.Gate.setColdLimits(ColdTime, ColdRate);
+  const int Submitted = submitFor(Fixture, Millis(1000));
+  Fixture.runUntil([&] {
+    return Fixture.Replies.size() == static_cast<std::size_t>(Submitted);
+  });
+  CHECK(Fixture.Received.size() <= 1.5 * ColdRate + 8);
+  CHECK(Fixture.Received.size() >= ColdRate / 2);
+  CHECK(Fixture.Gate.load().cold_ms() > 0);
+  CHECK(Fixture.Gate.coldRejections() ==
+        Fixture.Replies.size() - Fixture.Received.size());
+  for (const auto &[Id, Reply] : Fixture.Replies) {
+    if (Reply.outcome() == proto::ANSWERED)
+      continue;
+    CHECK(Reply.outcome() == proto::NOT_RUN);
+    CHECK(Reply.reason() == ColdReason);
+    // 0 would mean that the call must not be offered again.
+    CHECK(Reply.retry_after_ms() > 0);
+  }
+  SUBCASE("until it says that it is warm") {
+    Fixture.Gate.recordColdRemaining(Millis(0), "heartbeat");
+  }
+  SUBCASE("until its cold time has passed") { Fixture.runFor(ColdTime); }
+  CHECK(Fixture.Gate.load().cold_ms() == 0);
+  for (int I = 0; I < 60; ++I)
+    Fixture.submit(absl::StrCat("warm-", I));
+  Fixture.runUntil([&] { return Fixture.Gate.callsInFlight() == 0; });
+  for (int I = 0; I < 60; ++I)
+    CHECK(Fixture.Replies[absl::StrCat("warm-", I)].outcome() ==
+          proto::ANSWERED);
+}
+
+TEST_CASE("a warm upstream that turns cold keeps only the calls that run") {
+  GateFixture Fixture(1);
+  Fixture.Gate.setColdLimits(ColdTime, ColdRate);
+  Fixture.Gate.recordColdRemaining(Millis(0), "heartbeat");
+  Fixture.Scripts["slow"] = {.Bytes = "", .LateBytes = responseTo("slow")};
+  Fixture.submit("slow");
+  Fixture.submit("waiting");
+  CHECK(Fixture.Gate.load().waiting() == 1);
+  std::string_view Reason = ColdReason;
+  SUBCASE("by its own account") {
+    Fixture.Gate.recordColdRemaining(Millis(1000), "heartbeat");
+  }
+  SUBCASE("as its heartbeats are missing") {
+    Fixture.Gate.assumeCold("its heartbeats are missing");
+  }
+  SUBCASE("as its data centre is evacuated") {
+    Fixture.Gate.setEvacuated(true);
+    Reason = EvacuatedReason;
+  }
+  CHECK(Fixture.Replies["waiting"].outcome() == proto::NOT_RUN);
+  CHECK(Fixture.Replies["waiting"].reason() == Reason);
+  Fixture.runUntil([&] { return Fixture.Replies.contains("slow"); });
+  CHECK(Fixture.Replies["slow"].outcome() == proto::ANSWERED);
+  CHECK(Fixture.call("refused").reason() == Reason);
+  CHECK(Fixture.Received == std::vector<std::string>{"slow"});
+}
+
+TEST_CASE("an upstream that is given back after an evacuation may be cold") {
+  GateFixture Fixture;
+  Fixture.Gate.setColdLimits(ColdTime, ColdRate);
+  Fixture.Gate.recordColdRemaining(Millis(0), "heartbeat");
+  Fixture.Gate.setEvacuated(true);
+  CHECK(Fixture.Gate.load().cold_ms() == 0);
+  // Known for good: 0 means that the call must not be offered again.
+  CHECK(Fixture.call("a").retry_after_ms() == 0);
+  Fixture.Gate.setEvacuated(false);
+  CHECK(Fixture.Gate.isColdAssumed());
+}
+
+TEST_CASE("an upstream that has ended is cold when it is back") {
+  GateFixture Fixture;
+  Fixture.Gate.setColdLimits(ColdTime, ColdRate);
+  Fixture.Gate.recordColdRemaining(Millis(0), "heartbeat");
+  REQUIRE(Fixture.call("before").outcome() == proto::ANSWERED);
+  const Tcp::endpoint Address = Fixture.Acceptor.local_endpoint();
+  Fixture.Acceptor.close();
+  Fixture.closeConnections();
+  CHECK(Fixture.call("lost").outcome() != proto::ANSWERED);
+  CHECK(Fixture.Gate.hasUpstreamEnded());
+  CHECK(Fixture.Gate.isColdAssumed());
+  CHECK(Fixture.Gate.load().cold_ms() > 0);
+  // Its cold time counts from its return, which may be just before it is
+  // reached again.
+  Fixture.runFor(ColdTime);
+  CHECK(Fixture.Gate.load().cold_ms() == 0);
+  Fixture.listenAgain(Address);
+  CHECK(Fixture.call("after").outcome() == proto::ANSWERED);
+  CHECK(Fixture.Gate.isColdAssumed());
+}
+
 } // namespace
 } // namespace persimmonquay
--- a/persimmonquay/fleet/upstream_registry.h
+++ b/persimmonquay/fleet/upstream_registry.h
@@ -91,6 +91,14 @@
            this->StartedUnixMs == Received.StartedUnixMs;
   }
 
+  /// Returns whether no newer heartbeat of the registered upstream has arrived.
+  bool isLatest(const Heartbeat &Received) const {
+    return this->isRegistered(Received) && this->Sequence == Received.Sequence;
+  }
+
+  /// Returns when the last heartbeat that counts arrived.
+  MonoTime lastSeenAt() const { return this->LastSeenAt; }
+
   /// Returns the latest departures, oldest first.
   const Departures &departures() const { return this->Departed; }
 
--- a/persimmonquay/traffic/cold_start_limiter.cc
+++ b/persimmonquay/traffic/cold_start_limiter.cc
@@ -22,14 +22,21 @@
 
 } // namespace internal
 
-void ColdStartLimiter::setColdUntil(MonoTime Until, MonoTime Now) {
-  if (Now >= this->ColdUntil) {
-    // A new limit starts with an empty bucket.
-    this->Pacer = CallPacer();
-    if (this->CallsPerSecond > 0)
-      this->Pacer.setLimit(this->CallsPerSecond, Now);
-  }
-  this->ColdUntil = Until;
+MonoTime ColdStartLimiter::coldUntil() const {
+  if (!this->AssumedAt)
+    return this->ToldUntil;
+  return std::max(this->ToldUntil,
+                  *this->AssumedAt + (this->Duration > Millis{0}
+                                          ? this->Duration
+                                          : internal::DefaultColdDuration));
+}
+
+void ColdStartLimiter::prepareBucket(MonoTime Now) {
+  if (Now < this->coldUntil())
+    return;
+  this->Pacer = CallPacer();
+  if (this->CallsPerSecond > 0)
+    this->Pacer.setLimit(this->CallsPerSecond, Now);
 }
 
 void ColdStartLimiter::setLimits(Millis ColdDuration, double Rate,
@@ -47,17 +54,15 @@
 }
 
 void ColdStartLimiter::assumeCold(MonoTime Now) {
-  const Millis Assumption = this->Duration > Millis{0}
-                                ? this->Duration
-                                : internal::DefaultColdDuration;
-  this->setColdUntil(std::max(this->ColdUntil, Now + Assumption), Now);
-  this->Assumed = true;
+  this->prepareBucket(Now);
+  this->AssumedAt = Now;
 }
 
 void ColdStartLimiter::recordRemaining(Millis ColdTime, MonoTime Now) {
-  this->setColdUntil(
-      Now + std::clamp(ColdTime, Millis{0}, internal::MaxColdDuration), Now);
-  this->Assumed = false;
+  this->prepareBucket(Now);
+  this->ToldUntil =
+      Now + std::clamp(ColdTime, Millis{0}, internal::MaxColdDuration);
+  this->AssumedAt.reset();
 }
 
 void ColdStartLimiter::recordSend(MonoTime Now) {
@@ -77,13 +82,13 @@
   if (Return > Now + internal::MaxReturnDelay)
     Return = std::min(Earliest, Now + internal::MaxReturnDelay);
   this->LastReturn = Return;
-  return std::chrono::duration_cast<Micros>(std::min(Return, this->ColdUntil) -
-                                            Now);
+  return std::chrono::duration_cast<Micros>(
+      std::min(Return, this->coldUntil()) - Now);
 }
 
 Millis ColdStartLimiter::remaining(MonoTime Now) const {
   // Rounded up, so that a cold upstream is never reported as warm.
-  return this->isCold(Now) ? std::chrono::ceil<Millis>(this->ColdUntil - Now)
+  return this->isCold(Now) ? std::chrono::ceil<Millis>(this->coldUntil() - Now)
                            : Millis{0};
 }
 
@@ -91,7 +96,7 @@
                                      MonoTime Now) const {
   if (!this->isCold(Now))
     return Now;
-  return std::min(this->Pacer.startTime(CallsAhead, Now), this->ColdUntil);
+  return std::min(this->Pacer.startTime(CallsAhead, Now), this->coldUntil());
 }
 
 } // namespace persimmonquay
--- a/persimmonquay/traffic/cold_start_limiter.h
+++ b/persimmonquay/traffic/cold_start_limiter.h
@@ -18,6 +18,7 @@
 #include "persimmonquay/base/time.h"
 #include "persimmonquay/traffic/call_pacer.h"
 #include <cstddef>
+#include <optional>
 #include <string_view>
 
 namespace persimmonquay {
@@ -68,12 +69,12 @@
 
   /// Returns whether the calls to the upstream are limited.
   bool isCold(MonoTime Now) const {
-    return this->CallsPerSecond > 0 && Now < this->ColdUntil;
+    return this->CallsPerSecond > 0 && Now < this->coldUntil();
   }
 
   /// Returns whether the upstream is only assumed to be cold.
   bool isAssumed(MonoTime Now) const {
-    return this->Assumed && this->isCold(Now);
+    return this->AssumedAt && this->isCold(Now);
   }
 
   /// Returns how much longer the calls are limited; 0 if they are not.
@@ -87,13 +88,17 @@
   }
 
 private:
-  /// Extends or shortens the cold time; the bucket is empty when it begins.
-  void setColdUntil(MonoTime Until, MonoTime Now);
+  MonoTime coldUntil() const;
+  /// Empties the bucket if the upstream has been warm.
+  void prepareBucket(MonoTime Now);
 
   Millis Duration{0};
   double CallsPerSecond = 0;
-  MonoTime ColdUntil;
-  bool Assumed = false;
+  /// Until when the upstream is cold by its own account.
+  MonoTime ToldUntil;
+  /// When the upstream was last assumed to have started, if it has not said
+  /// anything since.
+  std::optional<MonoTime> AssumedAt;
   CallPacer Pacer;
   /// The time that was told to the last refused call.
   MonoTime LastReturn;
--- a/persimmonquay/traffic/cold_start_limiter_test.cc
+++ b/persimmonquay/traffic/cold_start_limiter_test.cc
@@ -114,6 +114,7 @@
   Limiter.setLimits(ColdTime, ColdRate, Now);
   CHECK(Limiter.isCold(Now));
   CHECK_FALSE(Limiter.mayStart(0, Now));
+  CHECK(Limiter.remaining(Now) == ColdTime);
   SUBCASE("an upstream without a limit") {
     Limiter.setLimits(ColdTime, 0, Now);
     CHECK_FALSE(Limiter.isCold(Now));
--- a/persimmonquay/traffic/upstream_ranking.h
+++ b/persimmonquay/traffic/upstream_ranking.h
@@ -6,6 +6,8 @@
 //  - Upstreams that fail some of their calls while they look healthy: failures
 //    add to the expected time.
 //  - Upstreams that were just added.
+//  - Upstreams that are cold and take a few calls a second from all nodes
+//    together.
 //  - Upstreams that are gone although this node has not heard of it, for
 //    instance because another host has taken over the address of theirs.
 //
@@ -49,6 +51,9 @@
   /// Records that a gate has rejected a call for a reason other than load: it
   /// has no such upstream, or the upstream can't be used at present.
   void recordUnavailable(MonoTime Now);
+  /// Records that the upstream is cold and takes no call of this node before
+  /// `Opening`.
+  void recordClosed(MonoTime Opening) { this->OpensAt = Opening; }
   /// Records the fraction of all nodes' calls that failed at the upstream.
   void recordFleetFailureRate(double Rate, MonoTime Now) {
     this->FleetFailureRate = Rate;
@@ -66,6 +71,10 @@
     return Now < this->UnavailableUntil;
   }
 
+  /// Returns when the upstream takes calls of this node, as it last told. Each
+  /// node is told another time, so that few offers are refused.
+  MonoTime opensAt() const { return this->OpensAt; }
+
   std::uint32_t inFlight() const { return this->InFlight; }
 
   /// Returns the expected time that a call would wait for a slot there.
@@ -112,6 +121,7 @@
   MonoTime LastResultAt;
   MonoTime FleetRateAt;
   MonoTime UnavailableUntil;
+  MonoTime OpensAt;
   /// Length of the next such time.
   std::chrono::milliseconds UnavailableBackoff{0};
 };
