daemon: quotas of client accounts over the links between nodes

Cause: the decisions on quotas need messages between callers' nodes and keepers.

The router spends a call of the account's quota before it places the call, answers 429 with the time at which there is room, and gives back what has not run. A node keeps quotas once it surely knows the other nodes: at once after a restart with its stored entry, else 3 s after the last new node. Metrics pq_quota_*. Calls that are refused by a quota don't raise the retry budget.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -6,6 +6,7 @@
 #include "persimmonquay/daemon/hop_by_hop_headers.h"
 #include "persimmonquay/daemon/metrics.h"
 #include "persimmonquay/daemon/peer_link.h"
+#include "persimmonquay/daemon/quota_service.h"
 #include "persimmonquay/daemon/route_target.h"
 #include "persimmonquay/daemon/routed_call.h"
 #include "persimmonquay/daemon/upstream_gate.h"
@@ -182,8 +183,14 @@
   auto Call = std::make_shared<RoutedCall>();
   Call->Request = std::move(Request);
   std::optional<HttpResponse> Response = this->prepareCall(*Call);
-  if (!Response)
+  if (!Response && Call->Account != nullptr && Call->Account->rate_per_s() > 0)
+    Response = co_await this->spendQuota(Call);
+  if (!Response) {
+    this->serviceState(Call->Service).Budget.recordCall(monoNow());
     Response = co_await this->forward(Call);
+  }
+  if (Call->Charge && Call->RunCount == 0 && !Call->MayHaveRun)
+    this->Dependencies.Quotas.giveBack(*Call->Charge);
   if (Call->Request->CallerDisconnected)
     Call->End = RequestOutcome::CallerDisconnected;
   this->Dependencies.Counters.recordRequest(
@@ -269,10 +276,28 @@
   Call.Service =
       Call.Route->parts(static_cast<int>(Split->second.next())).service();
   Call.Versions = this->Dependencies.Rollouts.chooseVersions(Call.Service);
-  this->serviceState(Call.Service).Budget.recordCall(Now);
   return std::nullopt;
 }
 
+asio::awaitable<std::optional<HttpResponse>>
+CallRouter::spendQuota(std::shared_ptr<RoutedCall> Call) {
+  const QuotaDecision Decision =
+      co_await this->Dependencies.Quotas.admit(*Call->Account, Call->Request);
+  switch (Decision.Verdict) {
+  case QuotaDecision::Kind::Admitted:
+    Call->Charge = Decision.Charge;
+    co_return std::nullopt;
+  case QuotaDecision::Kind::Refused:
+    co_return this->Responses.errorResponse(*Call, StatusTooManyRequests,
+                                            "the account is beyond its quota",
+                                            Decision.RetryAfter);
+  default:
+    co_return this->Responses.errorResponse(
+        *Call, StatusUnavailable, "the account's quota can't be checked",
+        Decision.RetryAfter);
+  }
+}
+
 CrashDecision CallRouter::crashDecision(const RoutedCall &Call) const {
   if (this->Dependencies.Crashes.empty())
     return {};
--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -32,6 +32,7 @@
 enum class RequestOutcome;
 class UpstreamGate;
 class PeerLink;
+class QuotaService;
 class RolloutTable;
 struct LinkTraffic;
 
@@ -50,6 +51,7 @@
   RolloutTable &Rollouts;
   Metrics &Counters;
   CrashLedger &Crashes;
+  QuotaService &Quotas;
 };
 
 /// Finds the route of each call, selects upstreams, offers the call to the
@@ -94,6 +96,12 @@
     this->Targets.setConnectHandler(std::move(Handler));
   }
 
+  /// Sets the function that receives the grants of other nodes, for links that
+  /// are opened from now on.
+  void setGrantHandler(TargetTable::GrantHandler Handler) {
+    this->Targets.setGrantHandler(std::move(Handler));
+  }
+
   /// Updates the known nodes and upstreams from `Nodes` and opens links to new
   /// nodes.
   void updateNodes(const NodeDirectory &Nodes);
@@ -129,6 +137,10 @@
   /// Looks up the route and sets deadline, objective, service and versions of
   /// `Call`. Returns an error response if the request cannot be routed.
   std::optional<HttpResponse> prepareCall(RoutedCall &Call);
+  /// Spends a call of the account's quota. Returns an error response if there
+  /// is none left.
+  asio::awaitable<std::optional<HttpResponse>>
+  spendQuota(std::shared_ptr<RoutedCall> Call);
   /// Offers `Call` to upstreams until one responds or no further attempt is
   /// allowed. Returns the response for the caller.
   asio::awaitable<HttpResponse> forward(std::shared_ptr<RoutedCall> Call);
--- a/persimmonquay/daemon/caller_responses.cc
+++ b/persimmonquay/daemon/caller_responses.cc
@@ -30,7 +30,9 @@
                                  std::uint64_t Seed)
     : Headers(std::move(ResponseHeaders)), Random(Seed),
       SuccessLogLimit(internal::SuccessLogLinesPerSecond,
-                      internal::SuccessLogLinesPerSecond) {}
+                      internal::SuccessLogLinesPerSecond),
+      QuotaLogLimit(internal::SuccessLogLinesPerSecond,
+                    internal::SuccessLogLinesPerSecond) {}
 
 HttpResponse
 CallerResponses::upstreamResponse(const proto::CallReply &Reply) const {
@@ -94,7 +96,9 @@
 HttpResponse CallerResponses::errorResponse(RoutedCall &Call, unsigned Status,
                                             const std::string &Reason,
                                             Millis RetryAfter) {
+  const bool IsBeyondQuota = Status == StatusTooManyRequests;
   Call.End = Status == StatusUnavailable      ? RequestOutcome::Rejected
+             : IsBeyondQuota                  ? RequestOutcome::Rejected
              : Status == StatusBadGateway     ? RequestOutcome::Unknown
              : Status == StatusGatewayTimeout ? RequestOutcome::TimedOut
              : Status == 404                  ? RequestOutcome::NoRoute
@@ -104,10 +108,12 @@
   Result.set(http::field::content_type, "text/plain");
   if (!Call.RequestId.empty())
     Result.set(this->Headers.RequestId, Call.RequestId);
-  if (Status == StatusUnavailable) {
+  if (Status == StatusUnavailable || IsBeyondQuota) {
+    // Within a quota there is surely no room any earlier.
+    const double MinFactor = IsBeyondQuota ? 1 : internal::MinRetryAfterFactor;
     const double Factor =
-        internal::MinRetryAfterFactor +
-        (internal::MaxRetryAfterFactor - internal::MinRetryAfterFactor) *
+        MinFactor +
+        (internal::MaxRetryAfterFactor - MinFactor) *
             std::uniform_real_distribution<double>(0, 1)(this->Random);
     double Seconds = std::chrono::duration<double>(RetryAfter).count() * Factor;
     if (Call.CallerTimeout > Millis{0})
@@ -117,7 +123,8 @@
     Result.set(http::field::retry_after, absl::StrFormat("%.3f", Seconds));
   }
   Result.body() = Reason;
-  if (!Call.Request->CallerDisconnected)
+  if (!Call.Request->CallerDisconnected &&
+      (!IsBeyondQuota || this->QuotaLogLimit.allow(monoNow())))
     logLine(LogLevel::Info, "call not answered by an upstream",
             {{"request", Call.RequestId},
              {"route", Call.Route == nullptr ? "" : Call.Route->name()},
--- a/persimmonquay/daemon/caller_responses.h
+++ b/persimmonquay/daemon/caller_responses.h
@@ -16,6 +16,9 @@
 struct RoutedCall;
 struct RouteTarget;
 
+/// The account is beyond its quota; the call has not run and will not run.
+inline constexpr unsigned StatusTooManyRequests = 429;
+
 /// 502 and 504 leave open whether the call ran. 503 guarantees that it has not
 /// run and will not run.
 inline constexpr unsigned StatusBadGateway = 502;
@@ -42,7 +45,8 @@
                    const RouteTarget &Target);
 
   /// Returns an error response of this node and logs the reason. `RetryAfter`
-  /// is sent with StatusUnavailable only.
+  /// is sent with StatusUnavailable and StatusTooManyRequests only. Lines about
+  /// the latter are rate-limited.
   HttpResponse errorResponse(RoutedCall &Call, unsigned Status,
                              const std::string &Reason, Millis RetryAfter);
 
@@ -55,6 +59,7 @@
   HeaderNames Headers;
   std::mt19937_64 Random;
   RateLimiter SuccessLogLimit;
+  RateLimiter QuotaLogLimit;
 };
 
 } // namespace persimmonquay
--- a/persimmonquay/daemon/link_server.cc
+++ b/persimmonquay/daemon/link_server.cc
@@ -173,6 +173,10 @@
     if (const std::optional<proto::LinkFrame> Update =
             this->GetNewerConfiguration(Frame.query().have_version()))
       Channel.send(*Update);
+  } else if (Frame.has_quota_ask() && this->OnAsk) {
+    proto::LinkFrame Reply;
+    *Reply.mutable_quota_grant() = this->OnAsk(Frame.quota_ask());
+    Channel.send(Reply);
   }
 }
 
--- a/persimmonquay/daemon/link_server.h
+++ b/persimmonquay/daemon/link_server.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace persimmonquay {
 
@@ -31,9 +32,14 @@
   using ConfigurationSource =
       std::function<std::optional<proto::LinkFrame>(std::uint64_t)>;
 
+  /// Returns the grants for an ask.
+  using AskHandler = std::function<proto::QuotaGrant(const proto::QuotaAsk &)>;
+
   LinkServer(asio::io_context &IoContext, UpstreamGate &LocalGate,
              FrameLimits LinkLimits, ConfigurationSource GetConfiguration);
 
+  void setAskHandler(AskHandler Handler) { this->OnAsk = std::move(Handler); }
+
   void start(Tcp::acceptor ListeningSocket);
   void stop();
 
@@ -47,6 +53,7 @@
   UpstreamGate &Gate;
   FrameLimits Limits;
   ConfigurationSource GetNewerConfiguration;
+  AskHandler OnAsk;
   std::optional<Tcp::acceptor> Acceptor;
   std::set<std::shared_ptr<FrameChannel>> Channels;
   bool IsStopped = false;
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -92,6 +92,10 @@
 /// established and directories compared.
 constexpr Millis FollowerSettleTime{1500};
 
+/// Time without a new node after which a node that starts for the first time
+/// takes all nodes for known: longer than an announcement takes to reach them.
+constexpr Millis DirectorySettleTime{3000};
+
 /// Largest body that is accepted, as a share of the process's memory. A body is
 /// read into memory as a whole before its call is routed.
 constexpr double MaxBodyMemoryShare = 1.0 / 16;
@@ -183,6 +187,10 @@
                      [this](const std::string &Node) {
                        return this->Router.linkTo(Node);
                      }}),
+      Quotas(Setup.Context, Setup.Settings.node(), Setup.Settings.data_centre(),
+             [this](const std::string &Node) {
+               return this->Router.linkTo(Node);
+             }),
       Router(
           CallRouterDependencies{
               Setup.Context, Setup.Names, Setup.Settings.service(),
@@ -192,7 +200,7 @@
                           Millis(static_cast<std::int64_t>(
                               Setup.Settings.retry_budget_window_s() * 1000))},
               internal::frameLimits(Setup.Settings), this->Gate, this->Rollouts,
-              this->NodeMetrics, this->Crashes},
+              this->NodeMetrics, this->Crashes, this->Quotas},
           [this](proto::LinkFrame Frame) {
             this->ConfigSync.handleFrame(std::move(Frame));
           }),
@@ -226,6 +234,9 @@
   this->Directory.setOwnEntry(std::move(OwnEntry));
   this->Router.setConnectHandler(
       [this](const std::string &Node) { this->NodeGossip.welcome(Node); });
+  this->Router.setGrantHandler([this](const proto::QuotaGrant &Grant) {
+    this->Quotas.handleGrant(Grant);
+  });
   this->Router.updateNodes(this->Directory);
   this->Gate.setCrashHandler([this](const CrashLedger::Records &Attributed) {
     this->handleCrash(Attributed);
@@ -268,6 +279,9 @@
       [this](std::uint64_t PeerVersion) {
         return this->ConfigSync.updateSince(PeerVersion);
       });
+  this->Links->setAskHandler([this](const proto::QuotaAsk &Ask) {
+    return this->Quotas.handleAsk(Ask);
+  });
   this->Callers->start(*std::move(CallerListener));
   this->Links->start(*std::move(LinkListener));
   this->Driver.start();
@@ -306,6 +320,7 @@
                Millis(Routes->configuration().limits().idle_timeout_ms()));
   this->ConfigurationAppliedAt = monoNow();
   this->NodeGossip.setConfigurationVersion(Routes->version());
+  this->Quotas.setConfiguration(Routes->configuration());
   this->Router.setRoutes(std::move(Routes));
   this->checkStoredUpstream();
   if (this->UncheckedHeartbeat)
@@ -392,10 +407,23 @@
         NodeDirectory::MergeResult::Updated)
       UpdatedEntries.push_back(Entry);
   }
-  if (UpdatedEntries.empty())
+  if (!UpdatedEntries.empty()) {
+    this->handleDirectoryChange();
+    this->NodeGossip.join(UpdatedEntries);
+  }
+  this->startKeepingQuotas();
+}
+
+void MeshNode::startKeepingQuotas() {
+  if (this->Quotas.isKeeping())
     return;
-  this->handleDirectoryChange();
-  this->NodeGossip.join(UpdatedEntries);
+  const MonoTime SettledSince =
+      std::max(this->Quotas.nodesChangedAt(), this->StartedAt);
+  if (!this->Settings.first_start() && this->KnownHistory.knowsMesh())
+    this->Quotas.startKeeping("the stored nodes are known");
+  else if (this->KnownHistory.hasJoined() &&
+           monoNow() - SettledSince >= internal::DirectorySettleTime)
+    this->Quotas.startKeeping("no further node has appeared");
 }
 
 void MeshNode::handleLeaving(const proto::UpstreamEntry &Leaving) {
@@ -453,6 +481,7 @@
 
 void MeshNode::handleDirectoryChange() {
   this->Router.updateNodes(this->Directory);
+  this->Quotas.updateNodes(this->Directory);
 }
 
 proto::NodeEntry MeshNode::entryToStore() const {
@@ -652,6 +681,7 @@
       continue;
     if (this->Registry.expire(MaxSilence, monoNow()))
       this->handleUpstreamChange();
+    this->startKeepingQuotas();
     if (monoNow() - this->TrafficLoggedAt >= internal::TrafficLogInterval)
       this->logTraffic();
   }
@@ -707,6 +737,31 @@
                   static_cast<double>(RemoteTraffic.ConfigurationBytes +
                                       RemoteTraffic.OtherBytes +
                                       this->NodeGossip.remoteBytes()));
+  const QuotaCounts &Quota = this->Quotas.counts();
+  Gauges.setGauge("pq_quota_admitted", "Calls within their account's quota",
+                  static_cast<double>(Quota.Admitted));
+  Gauges.setGauge("pq_quota_refused", "Calls beyond their account's quota",
+                  static_cast<double>(Quota.Refused));
+  Gauges.setGauge("pq_quota_unavailable",
+                  "Calls refused because no keeper of the quota was reached",
+                  static_cast<double>(Quota.Unavailable));
+  Gauges.setGauge("pq_quota_given_back",
+                  "Calls within a quota that did not run",
+                  static_cast<double>(Quota.GivenBack));
+  Gauges.setGauge("pq_quota_asks_sent", "Asks sent to keepers of quotas",
+                  static_cast<double>(Quota.AsksSent));
+  Gauges.setGauge("pq_quota_asks_handled", "Asks handled as keeper of quotas",
+                  static_cast<double>(Quota.AsksHandled));
+  Gauges.setGauge("pq_quota_granted", "Calls granted as keeper of quotas",
+                  static_cast<double>(this->Quotas.keeper().granted()));
+  Gauges.setGauge(
+      "pq_quota_lent", "Calls granted to other data centres",
+      static_cast<double>(this->Quotas.keeper().grantedElsewhere()));
+  Gauges.setGauge("pq_quota_kept_accounts", "Accounts whose quota is kept here",
+                  static_cast<double>(this->Quotas.keeper().accountCount()));
+  Gauges.setGauge("pq_quota_accounts",
+                  "Accounts with a quota whose callers were here lately",
+                  static_cast<double>(this->Quotas.accountCount()));
   Gauges.setGauge("pq_log_lines_dropped",
                   "Log lines dropped since their reader stalled",
                   static_cast<double>(droppedLogLines()));
--- a/persimmonquay/daemon/mesh_node.h
+++ b/persimmonquay/daemon/mesh_node.h
@@ -10,6 +10,7 @@
 #include "persimmonquay/daemon/gossip.h"
 #include "persimmonquay/daemon/header_names.h"
 #include "persimmonquay/daemon/metrics.h"
+#include "persimmonquay/daemon/quota_service.h"
 #include "persimmonquay/daemon/rollout_driver.h"
 #include "persimmonquay/daemon/upstream_gate.h"
 #include "persimmonquay/fleet/earlier_run.h"
@@ -163,6 +164,8 @@
   void handleCrash(const CrashLedger::Records &Attributed);
   void handleAppliedConfiguration(std::shared_ptr<const RouteTable> Routes,
                                   bool FetchedRemotely);
+  /// Starts to keep quotas once the other nodes are surely known.
+  void startKeepingQuotas();
   void handlePeerVersion(const std::string &Node, std::uint64_t Version);
   CallerServerLimits callerLimits() const;
   asio::awaitable<void> measureLoopLag();
@@ -186,6 +189,7 @@
   CrashLedger Crashes;
   UpstreamGate Gate;
   ConfigurationSync ConfigSync;
+  QuotaService Quotas;
   CallRouter Router;
   Gossip NodeGossip;
   RolloutDriver Driver;
--- a/persimmonquay/daemon/peer_link.cc
+++ b/persimmonquay/daemon/peer_link.cc
@@ -106,6 +106,14 @@
   this->send(Frame);
 }
 
+void PeerLink::sendQuotaAsk(const proto::QuotaAsk &Ask) {
+  if (!this->Channel)
+    return;
+  proto::LinkFrame Frame;
+  *Frame.mutable_quota_ask() = Ask;
+  this->send(Frame);
+}
+
 asio::awaitable<void> PeerLink::connectLoop() {
   Millis ReconnectDelay = internal::MinReconnectDelay;
   while (!this->IsStopped) {
@@ -190,6 +198,11 @@
     this->OnConfiguration(std::move(Frame));
     return;
   }
+  if (Frame.has_quota_grant()) {
+    if (this->OnGrant)
+      this->OnGrant(Frame.quota_grant());
+    return;
+  }
   if (!Frame.has_reply())
     return;
   const auto Found = this->PendingCalls.find(Frame.reply().id());
--- a/persimmonquay/daemon/peer_link.h
+++ b/persimmonquay/daemon/peer_link.h
@@ -51,6 +51,7 @@
   using ConfigurationHandler = std::function<void(proto::LinkFrame)>;
   /// Receives the name of the peer when the link has been connected.
   using ConnectHandler = std::function<void(const std::string &Node)>;
+  using GrantHandler = std::function<void(const proto::QuotaGrant &)>;
 
   /// `ProbeInterval` is the interval between probes while no call is pending.
   PeerLink(asio::io_context &IoContext, std::string NodeName,
@@ -63,6 +64,11 @@
     this->OnConnected = std::move(Handler);
   }
 
+  /// Sets the function that receives the replies to `sendQuotaAsk()`.
+  void setGrantHandler(GrantHandler Handler) {
+    this->OnGrant = std::move(Handler);
+  }
+
   void start();
   void stop();
 
@@ -77,6 +83,9 @@
   /// Requests the configuration of the peer if it is newer than `HaveVersion`.
   void requestConfiguration(std::uint64_t HaveVersion);
 
+  /// Asks the peer for calls out of accounts' quotas.
+  void sendQuotaAsk(const proto::QuotaAsk &Ask);
+
   // Queries.
 
   /// Returns whether the link is connected and the peer has responded recently.
@@ -111,6 +120,7 @@
   FrameLimits Limits;
   ConfigurationHandler OnConfiguration;
   ConnectHandler OnConnected;
+  GrantHandler OnGrant;
   std::shared_ptr<FrameChannel> Channel;
   std::map<std::uint64_t, PendingCall> PendingCalls;
   std::uint64_t NextId = 1;
--- a/persimmonquay/daemon/routed_call.h
+++ b/persimmonquay/daemon/routed_call.h
@@ -2,6 +2,7 @@
 #ifndef PERSIMMONQUAY_DAEMON_ROUTED_CALL_H
 #define PERSIMMONQUAY_DAEMON_ROUTED_CALL_H
 
+#include "persimmonquay/accounts/quota_balances.h"
 #include "persimmonquay/base/time.h"
 #include "persimmonquay/daemon/caller_server.h"
 #include "persimmonquay/daemon/metrics.h"
@@ -24,6 +25,10 @@
   const proto::MeshRoute *Route = nullptr;
   /// Keeps `Route` alive when a new route table becomes active.
   std::shared_ptr<const RouteTable> Routes;
+  /// Account of the caller, in `Routes`; null if it has none.
+  const proto::ClientAccount *Account = nullptr;
+  /// What the call has spent of the account's quota.
+  std::optional<QuotaCharge> Charge;
   std::string Service;
   VersionFilter Versions;
   /// Time after which a response is useless to the caller.
--- a/persimmonquay/daemon/target_table.cc
+++ b/persimmonquay/daemon/target_table.cc
@@ -124,6 +124,7 @@
                                      : internal::RemoteProbeInterval,
                                  this->Limits, this->OnConfiguration);
   Result->setConnectHandler(this->OnConnected);
+  Result->setGrantHandler(this->OnGrant);
   Result->start();
   return Result;
 }
--- a/persimmonquay/daemon/target_table.h
+++ b/persimmonquay/daemon/target_table.h
@@ -28,6 +28,7 @@
 public:
   using ConfigurationHandler = std::function<void(proto::LinkFrame)>;
   using ConnectHandler = std::function<void(const std::string &Node)>;
+  using GrantHandler = std::function<void(const proto::QuotaGrant &)>;
 
   /// `Handler` receives the configurations that other nodes send.
   TargetTable(asio::io_context &IoContext, std::string LocalNodeName,
@@ -42,6 +43,12 @@
     this->OnConnected = std::move(Handler);
   }
 
+  /// Sets the function that receives the grants of other nodes, for links that
+  /// are opened from now on.
+  void setGrantHandler(GrantHandler Handler) {
+    this->OnGrant = std::move(Handler);
+  }
+
   /// Updates the nodes and upstreams from `Nodes`. Opens links to new nodes and
   /// reopens links to nodes whose address has changed.
   void update(const NodeDirectory &Nodes);
@@ -90,6 +97,7 @@
   FrameLimits Limits;
   ConfigurationHandler OnConfiguration;
   ConnectHandler OnConnected;
+  GrantHandler OnGrant;
   std::map<std::string, std::shared_ptr<RouteTarget>> Targets;
   UpstreamNotices Notices;
   /// Earliest upstream start that was seen, in Unix milliseconds, by service
--- a/persimmonquay/fleet/earlier_run.h
+++ b/persimmonquay/fleet/earlier_run.h
@@ -59,6 +59,14 @@
                                     : HeartbeatTrust::Wait;
   }
 
+  /// Returns whether the stored entries have been read and an earlier run's is
+  /// among them: all nodes of that time are known then, and know this one.
+  bool knowsMesh() const { return this->HasReadStore && this->HasStoredEntry; }
+
+  /// Returns whether the stored entries have been read or another node has
+  /// replied.
+  bool hasJoined() const { return this->HasReadStore || this->HasReply; }
+
 private:
   bool HasReadStore = false;
   bool HasOtherNodes = false;
