--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -33,6 +33,7 @@
 enum class RequestOutcome;
 class UpstreamGate;
 class PeerLink;
+class QuotaService;
 class RolloutTable;
 struct LinkTraffic;
 
@@ -51,6 +52,7 @@
   RolloutTable &Rollouts;
   Metrics &Counters;
   CrashLedger &Crashes;
+  QuotaService &Quotas;
 };
 
 /// Finds the route of each call, selects upstreams, offers the call to the
@@ -95,6 +97,12 @@
     this->Targets.setConnectHandler(std::move(Handler));
   }
 
+  /// Sets the function that receives the grants of other nodes, for links that
+  /// are opened from now on.
+  void setGrantHandler(TargetTable::GrantHandler Handler) {
+    this->Targets.setGrantHandler(std::move(Handler));
+  }
+
   /// Updates the known nodes and upstreams from `Nodes` and opens links to new
   /// nodes.
   void updateNodes(const NodeDirectory &Nodes);
@@ -140,6 +148,10 @@
   /// the key and the account's name from its headers if the configuration has
   /// accounts. Returns an error response if the call must not be routed.
   std::optional<HttpResponse> checkAccess(RoutedCall &Call);
+  /// Spends a call of the account's quota. Returns an error response if there
+  /// is none left.
+  asio::awaitable<std::optional<HttpResponse>>
+  spendQuota(std::shared_ptr<RoutedCall> Call);
   /// Offers `Call` to upstreams until one responds or no further attempt is
   /// allowed. Returns the response for the caller.
   asio::awaitable<HttpResponse> forward(std::shared_ptr<RoutedCall> Call);
--- a/persimmonquay/daemon/caller_responses.h
+++ b/persimmonquay/daemon/caller_responses.h
@@ -19,6 +19,9 @@
 /// The call has no key of a client account; callers don't retry it.
 inline constexpr unsigned StatusUnauthorized = 401;
 
+/// The account is beyond its quota; the call has not run and will not run.
+inline constexpr unsigned StatusTooManyRequests = 429;
+
 /// 502 and 504 leave open whether the call ran. 503 guarantees that it has not
 /// run and will not run.
 inline constexpr unsigned StatusBadGateway = 502;
@@ -45,7 +48,8 @@
                    const RouteTarget &Target);
 
   /// Returns an error response of this node and logs the reason. `RetryAfter`
-  /// is sent with StatusUnavailable only.
+  /// is sent with StatusUnavailable and StatusTooManyRequests only. Lines about
+  /// the latter are rate-limited.
   HttpResponse errorResponse(RoutedCall &Call, unsigned Status,
                              const std::string &Reason, Millis RetryAfter);
 
@@ -58,6 +62,7 @@
   HeaderNames Headers;
   std::mt19937_64 Random;
   RateLimiter SuccessLogLimit;
+  RateLimiter QuotaLogLimit;
 };
 
 } // namespace persimmonquay
--- a/persimmonquay/daemon/routed_call.h
+++ b/persimmonquay/daemon/routed_call.h
@@ -2,6 +2,7 @@
 #ifndef PERSIMMONQUAY_DAEMON_ROUTED_CALL_H
 #define PERSIMMONQUAY_DAEMON_ROUTED_CALL_H
 
+#include "persimmonquay/accounts/quota_balances.h"
 #include "persimmonquay/base/time.h"
 #include "persimmonquay/daemon/caller_server.h"
 #include "persimmonquay/daemon/metrics.h"
@@ -28,6 +29,8 @@
   const proto::ClientAccount *Account = nullptr;
   /// Whether the upstream on this host makes the call while it runs another.
   bool IsNested = false;
+  /// What the call has spent of the account's quota.
+  std::optional<QuotaCharge> Charge;
   std::string Service;
   VersionFilter Versions;
   /// Time after which a response is useless to the caller.
