traffic: in a shortage, nested calls, starved kinds and short calls go first

Under sustained overload the gate ordered by priority and objective alone. Nested calls of a lower priority were rejected and took the work of their callers with them, the least important kind was hardly served at all, and long calls were served as often as short ones.

ShortageTally tells from the calls that were turned away whether there is a shortage and which kinds are starved; the order of AdmissionQueue changes only then. A call that is marked as nested is never rejected for being late.

The model learns nested calls made at once, waves, slow hosts, several nodes a data centre, idle slots while calls wait, and a bound on what any scheduler could earn. The new tests fail if there is never a shortage.

--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -10,6 +10,7 @@
 #include "persimmonquay/traffic/request_fingerprint.h"
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
 #include <absl/strings/str_join.h>
 #include <boost/beast/http/write.hpp>
 #include <cmath>
@@ -82,6 +83,10 @@
 /// other calls are not limited.
 constexpr double SuccessLogLinesPerSecond = 2;
 
+/// Maximum rate of log lines per second about the beginning and the end of
+/// shortages.
+constexpr double ShortageLogLinesPerSecond = 0.5;
+
 /// Number of suspects of a crash that wait for the end of another one.
 constexpr std::size_t MaxHeldSuspects = 16;
 
@@ -173,6 +178,7 @@
     : Context(IoContext), Counters(NodeCounters),
       SuccessLogLimit(internal::SuccessLogLinesPerSecond,
                       internal::SuccessLogLinesPerSecond),
+      ShortageLogLimit(internal::ShortageLogLinesPerSecond, 2),
       Headers(std::move(UpstreamHeaders)), Address(UpstreamAddress),
       MaxResponseBytes(internal::DefaultMaxResponseBytes),
       Received(internal::MaxLargestResponses *
@@ -221,7 +227,9 @@
           Arrival + Millis(Request.objective_ms()),
           Arrival + Millis(Request.remaining_ms()),
           Expected.mean(),
-          Expected.upper()};
+          Expected.upper(),
+          hashBytes(Request.route(), Request.priority()),
+          Request.nested()};
 }
 
 proto::CallReply
@@ -492,7 +500,25 @@
   this->armExpiryTimer();
 }
 
+void UpstreamGate::logShortage() {
+  const ShortageTally &Tally = this->Queue.tally();
+  const bool IsShortage = Tally.isShortage(monoNow());
+  if (std::exchange(this->HasShortage, IsShortage) == IsShortage ||
+      !this->ShortageLogLimit.allow(monoNow()))
+    return;
+  logLine(
+      LogLevel::Info,
+      IsShortage ? "shortage at the upstream"
+                 : "shortage at the upstream is over",
+      {{"instance", this->Upstream ? this->Upstream->instance() : ""},
+       {"turned_away", absl::StrFormat("%.2f", Tally.rejectedShare(monoNow()))},
+       {"running", std::to_string(this->Queue.running())},
+       {"waiting", std::to_string(this->Queue.waiting())},
+       {"slots", std::to_string(this->Queue.slots())}});
+}
+
 void UpstreamGate::armExpiryTimer() {
+  this->logShortage();
   std::optional<MonoTime> Next = this->Queue.nextExpiry();
   if (const std::optional<MonoTime> Start = this->Queue.nextStart(monoNow()))
     Next = Next ? std::min(*Next, *Start) : *Start;
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -120,6 +120,10 @@
   proto::CallReply checkAdmission(const proto::CallRequest &Request) const;
 
   proto::LoadReport load() const;
+  /// Returns the part of the calls that was turned away lately, 0 to 1.
+  double rejectedShare() const {
+    return this->Queue.tally().rejectedShare(monoNow());
+  }
   std::size_t callsInFlight() const { return this->Calls.size(); }
   const std::optional<proto::UpstreamEntry> &upstream() const {
     return this->Upstream;
@@ -165,6 +169,8 @@
   void addCrashes(const Call &ActiveCall, proto::CallReply &Reply) const;
   /// Sends a reply with the current load unless the call is cancelled.
   void reply(Call &ActiveCall, proto::CallReply Reply);
+  /// Logs the beginning and the end of a shortage.
+  void logShortage();
   /// Sets the timer for the next expiry of a queued call.
   void armExpiryTimer();
   /// Runs a started call, including one resend, and replies.
@@ -218,6 +224,7 @@
   asio::io_context &Context;
   Metrics &Counters;
   RateLimiter SuccessLogLimit;
+  RateLimiter ShortageLogLimit;
   HeaderNames Headers;
   Tcp::endpoint Address;
   std::optional<proto::UpstreamEntry> Upstream;
@@ -242,6 +249,8 @@
   /// The suspects that wait for its end.
   std::deque<std::uint64_t> HeldSuspects;
   AdmissionQueue Queue{0};
+  /// Whether there was a shortage when a call last came or ended.
+  bool HasShortage = false;
   /// Whether the upstream itself has told its limit, or that it has none, since
   /// this node has known it.
   bool HasReadLimit = false;
--- a/persimmonquay/traffic/admission_queue.cc
+++ b/persimmonquay/traffic/admission_queue.cc
@@ -30,6 +30,12 @@
 /// their processing times.
 constexpr int ShortCallDivisor = 3;
 
+/// In a shortage, a call that takes longer by some time goes behind calls whose
+/// objective is later by up to this many times that time. A queue that runs
+/// short calls first serves more of them; the objective still counts, so that a
+/// long call isn't passed for ever.
+constexpr int ShortageWorkFactor = 2;
+
 /// Minimum retry delay for rejected callers: a round trip plus the processing
 /// time of a few calls.
 constexpr Micros MinRetryAfter{20000};
@@ -52,6 +58,8 @@
 } // namespace internal
 
 bool AdmissionQueue::isShort(const QueuedCall &Call) const {
+  if (Call.Nested)
+    return true;
   Micros OtherProcessingTime{0};
   std::int64_t OtherCount = 0;
   for (const RunningCall &Other : this->Running) {
@@ -76,14 +84,27 @@
 
 bool AdmissionQueue::precedes(const WaitingCall &Left, const WaitingCall &Right,
                               MonoTime Now) const {
+  const bool IsShortage = this->Tally.isShortage(Now);
+  if (IsShortage && Left.Call.Nested != Right.Call.Nested)
+    return Left.Call.Nested;
+  if (IsShortage) {
+    const bool LeftStarved = this->Tally.isStarved(Left.Call.Kind);
+    if (LeftStarved != this->Tally.isStarved(Right.Call.Kind))
+      return LeftStarved;
+  }
   if (Left.Call.Priority != Right.Call.Priority)
     return Left.Call.Priority < Right.Call.Priority;
   const bool LeftLate = this->isLate(Left.Call, Now);
   const bool RightLate = this->isLate(Right.Call, Now);
   if (LeftLate != RightLate)
     return RightLate;
-  if (Left.Call.Objective != Right.Call.Objective)
-    return Left.Call.Objective < Right.Call.Objective;
+  const int WorkFactor = IsShortage ? internal::ShortageWorkFactor : 0;
+  const MonoTime LeftTime =
+      Left.Call.Objective + Left.Call.ProcessingTime * WorkFactor;
+  const MonoTime RightTime =
+      Right.Call.Objective + Right.Call.ProcessingTime * WorkFactor;
+  if (LeftTime != RightTime)
+    return LeftTime < RightTime;
   return Left.Sequence < Right.Sequence;
 }
 
@@ -220,10 +241,14 @@
           this->whyRejected(Call, MaxWait, Now)) {
     Result.Verdict = AdmissionVerdict::Reject;
     Result.Rejection = *Rejected;
+    // The caller offers a call that is rejected as busy elsewhere.
+    if (Rejected->Reason != BusyReason)
+      this->Tally.recordRejection(Call.Kind, Now);
     return Result;
   }
   if (this->canStartNow(Now)) {
     this->Pacer.recordSend(Now);
+    this->Tally.recordStart(Call.Kind, Now);
     this->Running.push_back({Call.Id, Now, Call.ProcessingTime});
     return Result;
   }
@@ -253,6 +278,7 @@
       });
   const std::uint64_t Id = Best->Call.Id;
   this->Pacer.recordSend(Now);
+  this->Tally.recordStart(Best->Call.Kind, Now);
   this->Running.push_back({Id, Now, Best->Call.ProcessingTime});
   this->Waiting.erase(Best);
   return Id;
@@ -278,8 +304,15 @@
     else
       Waiter.NextCheck = Now + std::max(Wait, internal::MinCheckInterval);
   }
-  for (const RejectedCall &Rejected : Result)
-    this->cancel(Rejected.Id);
+  for (const RejectedCall &Rejected : Result) {
+    const auto Expired =
+        std::find_if(this->Waiting.begin(), this->Waiting.end(),
+                     [&Rejected](const WaitingCall &Waiter) {
+                       return Waiter.Call.Id == Rejected.Id;
+                     });
+    this->Tally.recordRejection(Expired->Call.Kind, Now);
+    this->Waiting.erase(Expired);
+  }
   return Result;
 }
 
--- a/persimmonquay/traffic/admission_queue.h
+++ b/persimmonquay/traffic/admission_queue.h
@@ -13,6 +13,10 @@
 //    while they serve other calls. They are never demoted for being late: they
 //    hardly delay other calls, and if one fails, the work of the call that
 //    needs it is wasted.
+//  - More calls than the upstream can serve for seconds on end; see
+//    `ShortageTally`. Nested calls go first then, since the work of their
+//    callers would be lost; kinds of call that hardly get served come next, and
+//    among calls of one priority, those that take less work have precedence.
 //  - Callers that retry after a rejection. A call that is already late only
 //    uses capacity that no on-time call needs.
 //  - Upstreams that hang or slow down when they run more calls at once than
@@ -24,6 +28,7 @@
 
 #include "persimmonquay/base/time.h"
 #include "persimmonquay/traffic/call_pacer.h"
+#include "persimmonquay/traffic/shortage_tally.h"
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -46,6 +51,11 @@
   /// Time within which the upstream completes most calls of this kind. Used to
   /// predict whether the call will meet its latency objective.
   Micros UpperProcessingTime{0};
+  /// Calls of one kind are alike; see `ShortageTally`.
+  std::uint64_t Kind = 0;
+  /// Made by an upstream while it runs another call, which fails if this one
+  /// does.
+  bool Nested = false;
 };
 
 /// A call that will not run.
@@ -144,6 +154,9 @@
   /// none if no call waits or no slot is free.
   std::optional<MonoTime> nextStart(MonoTime Now) const;
 
+  /// Returns the calls that were started and turned away lately.
+  const ShortageTally &tally() const { return this->Tally; }
+
   std::optional<double> rateLimit() const { return this->Pacer.limit(); }
   std::size_t running() const { return this->Running.size(); }
   std::size_t waiting() const { return this->Waiting.size(); }
@@ -171,10 +184,13 @@
   /// Returns whether the call would miss its latency objective even if it
   /// started now. Short calls never count as late.
   bool isLate(const QueuedCall &Call, MonoTime Now) const;
-  /// Returns whether the call is short compared with the other calls here.
+  /// Returns whether the call is nested, or short compared with the other calls
+  /// here.
   bool isShort(const QueuedCall &Call) const;
   /// Returns whether `Left` starts before `Right`: by priority, then on-time
-  /// before late calls, then by latency objective, then by arrival.
+  /// before late calls, then by latency objective, then by arrival. In a
+  /// shortage, nested calls and then calls of starved kinds go before all
+  /// others, and the work of a call counts beside its objective.
   bool precedes(const WaitingCall &Left, const WaitingCall &Right,
                 MonoTime Now) const;
   /// Returns when each slot is expected to become free.
@@ -195,6 +211,7 @@
 
   std::size_t Slots;
   CallPacer Pacer;
+  ShortageTally Tally;
   std::vector<RunningCall> Running;
   std::vector<WaitingCall> Waiting;
   /// Since when calls have been waiting without a break; valid if any wait.
--- a/testing/model/mesh_model.cc
+++ b/testing/model/mesh_model.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <memory>
+#include <numbers>
 #include <queue>
 #include <random>
 #include <set>
@@ -70,6 +71,8 @@
 struct ModelCall {
   const ModelKind *Kind = nullptr;
   std::size_t DataCentre = 0;
+  /// Index of the caller's node.
+  std::size_t Node = 0;
   MonoTime Objective;
   MonoTime Deadline;
   /// Processing time at an upstream of slowness 1.
@@ -86,9 +89,10 @@
 
 /// The node of a data centre's callers, with its view of all upstreams.
 struct CallerNode {
-  std::vector<UpstreamView> Views;
-  std::map<std::string, ProcessingTimeEstimate> ProcessingTimes;
-  std::map<std::pair<std::string, std::size_t>, MonoTime> BusyUntil;
+  std::size_t DataCentre = 0;
+  std::vector<UpstreamView> Views = {};
+  std::map<std::string, ProcessingTimeEstimate> ProcessingTimes = {};
+  std::map<std::pair<std::string, std::size_t>, MonoTime> BusyUntil = {};
 };
 
 /// The gate next to an upstream.
@@ -106,14 +110,15 @@
       : Site(ModelledSite), Rule(PlacementRule), ArrivalRandom(Seed),
         NestedRandom(Seed + 1), ChoiceRandom(Seed + 2) {
     this->Result.ByDataCentre.resize(Site.DataCentres);
-    for (std::size_t DataCentre = 0; DataCentre < Site.DataCentres;
-         ++DataCentre) {
-      this->Nodes.emplace_back();
+    for (std::size_t I = 0; I < Site.DataCentres * Site.NodesPerDataCentre;
+         ++I) {
+      this->Nodes.push_back({.DataCentre = I / Site.NodesPerDataCentre});
       for (const ModelUpstream &Upstream : Site.Upstreams)
         this->Nodes.back().Views.emplace_back(
-            Upstream.DataCentre == DataCentre,
+            Upstream.DataCentre == this->Nodes.back().DataCentre,
             static_cast<std::uint32_t>(Upstream.Slots));
     }
+    this->scheduleSlowSpells(Seed + 3);
     this->Gates.resize(Site.Upstreams.size());
     for (std::size_t I = 0; I < Site.Upstreams.size(); ++I) {
       this->Gates[I].Queue.resize(Site.Upstreams[I].Slots);
@@ -128,18 +133,82 @@
       for (std::size_t DataCentre = 0; DataCentre < Kind.Rates.size();
            ++DataCentre)
         this->scheduleArrival(Kind, DataCentre, Micros{0});
-    while (this->Events.runNext(&this->Now))
-      ;
+    std::size_t IdleSlots = 0;
+    for (MonoTime Previous = this->Now; this->Events.runNext(&this->Now);
+         Previous = this->Now) {
+      this->Result.IdleSlotSeconds +=
+          static_cast<double>(IdleSlots) * seconds(this->Now - Previous);
+      IdleSlots = this->idleSlots();
+    }
     return std::move(this->Result);
   }
 
 private:
+  void scheduleSlowSpells(std::uint64_t Seed) {
+    this->SlowSpells.resize(this->Site.Upstreams.size());
+    if (this->Site.SlowSpellShare <= 0)
+      return;
+    std::mt19937_64 Random(Seed);
+    std::exponential_distribution<double> Gap(
+        this->Site.SlowSpellShare / (1 - this->Site.SlowSpellShare) /
+        seconds(this->Site.SlowSpellTime));
+    for (std::vector<MonoTime> &Spells : this->SlowSpells)
+      for (MonoTime Time = this->Start + microsOf(Gap(Random));
+           Time < this->Start + this->Site.Duration;
+           Time += this->Site.SlowSpellTime + microsOf(Gap(Random)))
+        Spells.push_back(Time);
+  }
+
+  /// Returns how many times as long as usual work takes at an upstream.
+  double speedFactor(std::size_t Target, MonoTime Time) const {
+    const std::vector<MonoTime> &Spells = this->SlowSpells[Target];
+    const auto Next = std::upper_bound(Spells.begin(), Spells.end(), Time);
+    return Next != Spells.begin() &&
+                   Time < *std::prev(Next) + this->Site.SlowSpellTime
+               ? this->Site.SlowSpellFactor
+               : 1;
+  }
+
+  /// Returns when work that starts now ends.
+  MonoTime workEnd(std::size_t Target, Micros Work) const {
+    MonoTime Time = this->Now;
+    for (auto Left = Work; Left > Micros{0};) {
+      const double Factor = this->speedFactor(Target, Time);
+      const Micros Step = std::min<Micros>(Left, Millis(5));
+      Time += microsOf(seconds(Step) * Factor);
+      Left -= Step;
+    }
+    return Time;
+  }
+
+  /// Returns how many slots are free while calls wait in the same data centre.
+  std::size_t idleSlots() const {
+    std::map<std::pair<std::string_view, std::size_t>,
+             std::pair<std::size_t, std::size_t>>
+        FreeAndWaiting;
+    for (std::size_t I = 0; I < this->Gates.size(); ++I) {
+      const AdmissionQueue &Queue = this->Gates[I].Queue;
+      auto &[Free, Waiting] = FreeAndWaiting[{
+          this->Site.Upstreams[I].Service, this->Site.Upstreams[I].DataCentre}];
+      Free += Queue.slots() - std::min(Queue.slots(), Queue.running());
+      Waiting += Queue.waiting();
+    }
+    std::size_t Result = 0;
+    for (const auto &[Key, Counts] : FreeAndWaiting)
+      Result += std::min(Counts.first, Counts.second);
+    return Result;
+  }
+
   void scheduleArrival(const ModelKind &Kind, std::size_t DataCentre,
                        Micros After) {
     const bool IsBurst =
         After >= this->Site.BurstFrom && After < this->Site.BurstUntil;
+    const double Phase = seconds(After) / seconds(this->Site.WavePeriod) +
+                         static_cast<double>(DataCentre) /
+                             static_cast<double>(this->Site.DataCentres);
     const double Rate =
-        Kind.Rates[DataCentre] * (IsBurst ? this->Site.BurstFactor : 1);
+        Kind.Rates[DataCentre] * (IsBurst ? this->Site.BurstFactor : 1) *
+        (1 + this->Site.WaveHeight * std::sin(2 * std::numbers::pi * Phase));
     const Micros Next = After + microsOf(std::exponential_distribution<double>(
                                     Rate)(this->ArrivalRandom));
     if (Next > this->Site.Duration)
@@ -155,25 +224,41 @@
   Micros drawWork(const ModelKind &Kind, std::mt19937_64 &Random) {
     std::lognormal_distribution<double> Factor(-Kind.Spread * Kind.Spread / 2,
                                                Kind.Spread);
-    return microsOf(seconds(Kind.ProcessingTime) * Factor(Random));
+    const bool IsTail =
+        Kind.TailShare > 0 &&
+        std::uniform_real_distribution<double>(0, 1)(Random) < Kind.TailShare;
+    return microsOf(seconds(Kind.ProcessingTime) * Factor(Random) *
+                    (IsTail ? Kind.TailFactor : 1));
   }
 
   void startRequest(const ModelKind &Kind, std::size_t DataCentre,
                     Micros Work) {
     ++this->Result.ByKind[Kind.Name].Offered;
     ++this->Result.ByDataCentre[DataCentre].Offered;
-    this->attempt(Kind, DataCentre, Work, this->Now, Kind.CallerRetries);
+    ++this->Result.BySecond[this->secondOf(this->Now)].Offered;
+    this->Result.Demand.push_back({&Kind, seconds(Work)});
+    const std::size_t Node =
+        DataCentre * this->Site.NodesPerDataCentre +
+        this->Result.Demand.size() % this->Site.NodesPerDataCentre;
+    this->attempt(Kind, Node, Work, this->Now, Kind.CallerRetries);
   }
 
-  void attempt(const ModelKind &Kind, std::size_t DataCentre, Micros Work,
+  std::int64_t secondOf(MonoTime Time) const {
+    return std::chrono::duration_cast<std::chrono::seconds>(Time - this->Start)
+        .count();
+  }
+
+  void attempt(const ModelKind &Kind, std::size_t Node, Micros Work,
                MonoTime FirstSent, int RetriesLeft) {
+    const std::size_t DataCentre = this->Nodes[Node].DataCentre;
     auto Call = std::make_shared<ModelCall>();
     Call->Kind = &Kind;
     Call->DataCentre = DataCentre;
+    Call->Node = Node;
     Call->Objective = FirstSent + Kind.Objective;
     Call->Deadline = FirstSent + Kind.Deadline;
     Call->Work = Work;
-    Call->OnEnd = [this, &Kind, DataCentre, Work, FirstSent,
+    Call->OnEnd = [this, &Kind, Node, DataCentre, Work, FirstSent,
                    RetriesLeft](Outcome End, ModelCall &Ended) {
       if (End == Outcome::Rejected && RetriesLeft > 0) {
         const double Factor = std::uniform_real_distribution<double>(
@@ -184,17 +269,21 @@
             std::min(microsOf(seconds(Ended.RetryAfter) * Factor),
                      Remaining / MaxRetryAfterDivisor);
         this->Events.at(this->Now + Delay, [=, this, &Kind] {
-          this->attempt(Kind, DataCentre, Work, FirstSent, RetriesLeft - 1);
+          this->attempt(Kind, Node, Work, FirstSent, RetriesLeft - 1);
         });
         return;
       }
-      for (ModelCounts *Counts : {&this->Result.ByKind[Kind.Name],
-                                  &this->Result.ByDataCentre[DataCentre]}) {
-        if (End == Outcome::Answered && this->Now <= Ended.Objective)
+      for (ModelCounts *Counts :
+           {&this->Result.ByKind[Kind.Name],
+            &this->Result.ByDataCentre[DataCentre],
+            &this->Result.BySecond[this->secondOf(FirstSent)]}) {
+        if (End == Outcome::Answered && this->Now <= Ended.Objective) {
           ++Counts->OnTime;
-        else if (End == Outcome::Answered && this->Now <= Ended.Deadline)
+          Counts->Worth += Kind.Worth;
+        } else if (End == Outcome::Answered && this->Now <= Ended.Deadline) {
           ++Counts->Late;
-        else if (End == Outcome::Rejected)
+          Counts->Worth += Kind.LateWorth;
+        } else if (End == Outcome::Rejected)
           ++Counts->Rejected;
         else
           ++Counts->Failed;
@@ -206,7 +295,7 @@
   }
 
   PlacementGoal goalOf(const ModelCall &Call) {
-    CallerNode &Node = this->Nodes[Call.DataCentre];
+    CallerNode &Node = this->Nodes[Call.Node];
     const ProcessingTimeEstimate Estimate =
         Node.ProcessingTimes
             .try_emplace(Call.Kind->Name, ProcessingTimeEstimate(Millis(50)))
@@ -227,7 +316,7 @@
 
   std::optional<PlacementOffer>
   choose(ModelCall &Call, const std::vector<std::size_t> &Candidates) {
-    CallerNode &Node = this->Nodes[Call.DataCentre];
+    CallerNode &Node = this->Nodes[Call.Node];
     const auto Random = [this] {
       return std::uniform_real_distribution<double>(0, 1)(this->ChoiceRandom);
     };
@@ -286,7 +375,7 @@
     const bool IsLocal =
         this->Site.Upstreams[Target].DataCentre == Call->DataCentre;
     const Micros Delay = IsLocal ? LocalDelay : RemoteDelay;
-    this->Nodes[Call->DataCentre].Views[Target].recordSent();
+    this->Nodes[Call->Node].Views[Target].recordSent();
     this->Events.at(this->Now + Delay, [this, Call, Target, Delay, IsLocal,
                                         MaxWait = Offer->MaxWait] {
       this->arrive(Call, Target, Delay, IsLocal, MaxWait);
@@ -311,6 +400,8 @@
     Queued.Deadline = Call->Deadline;
     Queued.ProcessingTime = Estimate.mean();
     Queued.UpperProcessingTime = Estimate.upper();
+    Queued.Kind = std::hash<std::string>()(Call->Kind->Name);
+    Queued.Nested = Call->Kind->IsNested;
     At.Calls[Queued.Id] = {Call,
                            [this, Call, Target, Delay, IsLocal](bool Failed) {
                              this->reply(Call, Target, Delay, IsLocal, Failed);
@@ -352,22 +443,32 @@
     ++Call->Arrivals;
     const MonoTime StartedAt = this->Now;
     const ModelKind *Nested = this->nestedKind(*Call);
-    this->Events.at(this->Now + Work, [this, Call, Target, Id, StartedAt,
-                                       Nested] {
+    this->Events.at(this->workEnd(Target, Work), [this, Call, Target, Id,
+                                                  StartedAt, Nested] {
       if (Nested == nullptr) {
         this->endWork(Target, Id, StartedAt, false);
         return;
       }
-      auto Child = std::make_shared<ModelCall>();
-      Child->Kind = Nested;
-      Child->DataCentre = this->Site.Upstreams[Target].DataCentre;
-      Child->Objective = this->Now + Nested->Objective;
-      Child->Deadline = std::min(this->Now + Nested->Deadline, Call->Deadline);
-      Child->Work = this->drawWork(*Nested, this->NestedRandom);
-      Child->OnEnd = [this, Target, Id, StartedAt](Outcome End, ModelCall &) {
-        this->endWork(Target, Id, StartedAt, End != Outcome::Answered);
-      };
-      this->offerNext(Child);
+      auto Failures = std::make_shared<int>(0);
+      auto Pending = std::make_shared<int>(Call->Kind->NestedCalls);
+      for (int I = 0; I < Call->Kind->NestedCalls; ++I) {
+        auto Child = std::make_shared<ModelCall>();
+        Child->Kind = Nested;
+        Child->DataCentre = this->Site.Upstreams[Target].DataCentre;
+        Child->Node = Child->DataCentre * this->Site.NodesPerDataCentre +
+                      Target % this->Site.NodesPerDataCentre;
+        Child->Objective = this->Now + Nested->Objective;
+        Child->Deadline =
+            std::min(this->Now + Nested->Deadline, Call->Deadline);
+        Child->Work = this->drawWork(*Nested, this->NestedRandom);
+        Child->OnEnd = [this, Target, Id, StartedAt, Failures,
+                        Pending](Outcome End, ModelCall &) {
+          *Failures += End == Outcome::Answered ? 0 : 1;
+          if (--*Pending == 0)
+            this->endWork(Target, Id, StartedAt, *Failures > 0);
+        };
+        this->offerNext(Child);
+      }
     });
   }
 
@@ -400,7 +501,7 @@
       this->gateEstimate(At, *Call->Kind).add(Taken);
     At.Queue.finish(Id);
     At.Calls.erase(Id);
-    CallerNode &Node = this->Nodes[Call->DataCentre];
+    CallerNode &Node = this->Nodes[Call->Node];
     const auto Typical = Node.ProcessingTimes.find(Call->Kind->Name);
     Node.Views[Target].recordResult(Failed, Taken, this->Now,
                                     Typical == Node.ProcessingTimes.end()
@@ -430,7 +531,7 @@
     const Micros Wait = At.Queue.predictedWait(this->Now);
     this->Events.at(this->Now + (IsLocal ? LocalDelay : RemoteDelay),
                     [this, Call, Target, DataCentre, IsLocal, Wait] {
-                      CallerNode &Node = this->Nodes[Call->DataCentre];
+                      CallerNode &Node = this->Nodes[Call->Node];
                       this->recordLoad(Node, Target);
                       Node.Views[Target].recordEnded();
                       if (!IsLocal) {
@@ -458,7 +559,7 @@
   void reply(const CallPointer &Call, std::size_t Target, Micros Delay,
              bool IsLocal, bool Failed) {
     this->Events.at(this->Now + Delay, [this, Call, Target, IsLocal, Failed] {
-      CallerNode &Node = this->Nodes[Call->DataCentre];
+      CallerNode &Node = this->Nodes[Call->Node];
       this->recordLoad(Node, Target);
       Node.Views[Target].recordEnded();
       if (!IsLocal)
@@ -487,6 +588,8 @@
   EventQueue Events;
   const MonoTime Start = MonoTime() + std::chrono::hours(1);
   MonoTime Now = Start;
+  /// Starts of the times in which each upstream's host is slow.
+  std::vector<std::vector<MonoTime>> SlowSpells;
   std::vector<CallerNode> Nodes;
   std::vector<Gate> Gates;
   std::vector<std::string> NodeNames;
@@ -504,6 +607,7 @@
   this->Rejected += Other.Rejected;
   this->Failed += Other.Failed;
   this->RejectedAgain += Other.RejectedAgain;
+  this->Worth += Other.Worth;
   return *this;
 }
 
@@ -514,6 +618,71 @@
   return Sum;
 }
 
+double ModelResult::offeredWorth() const {
+  double Sum = 0;
+  for (const ModelDemand &Request : this->Demand)
+    Sum += Request.Kind->Worth;
+  return Sum;
+}
+
+double worthBound(const ModelSite &Site, const ModelResult &Result) {
+  std::map<std::string, double> Capacity;
+  Millis Longest{0};
+  for (const ModelKind &Kind : Site.Kinds)
+    Longest = std::max(Longest, Kind.Deadline);
+  for (const ModelUpstream &Upstream : Site.Upstreams)
+    Capacity[Upstream.Service] +=
+        static_cast<double>(Upstream.Slots) * seconds(Site.Duration + Longest) /
+        Upstream.Slowness *
+        (1 - Site.SlowSpellShare * (1 - 1 / Site.SlowSpellFactor));
+  const auto FindNested = [&Site](const ModelKind &Kind) {
+    return std::find_if(Site.Kinds.begin(), Site.Kinds.end(),
+                        [&Kind](const ModelKind &Other) {
+                          return Other.Name == Kind.NestedKind;
+                        });
+  };
+  // Any non-negative prices of a second at each service give an upper bound;
+  // the lowest one is sought along one service after the other.
+  std::map<std::string, double> Prices;
+  const auto Bound = [&] {
+    double Sum = 0;
+    for (const auto &[Service, Seconds] : Capacity)
+      Sum += Prices[Service] * Seconds;
+    for (const ModelDemand &Request : Result.Demand) {
+      const ModelKind &Kind = *Request.Kind;
+      double Cost = Prices[Kind.Service] * Request.Work;
+      if (const auto Nested = FindNested(Kind); Nested != Site.Kinds.end()) {
+        const double NestedWork =
+            Kind.NestedProbability * seconds(Nested->ProcessingTime);
+        Cost += Prices[Kind.Service] * NestedWork +
+                Prices[Nested->Service] * NestedWork * Kind.NestedCalls;
+      }
+      Sum += std::max(Kind.Worth - Cost, 0.0);
+    }
+    return Sum;
+  };
+  constexpr int Rounds = 4;
+  constexpr int Steps = 30;
+  constexpr double MaxPrice = 100;
+  for (int Round = 0; Round < Rounds; ++Round)
+    for (const auto &[Service, Seconds] : Capacity) {
+      double Low = 0;
+      double High = MaxPrice;
+      for (int Step = 0; Step < Steps; ++Step) {
+        const double Third = (High - Low) / 3;
+        Prices[Service] = Low + Third;
+        const double LeftBound = Bound();
+        Prices[Service] = High - Third;
+        if (LeftBound < Bound())
+          High -= Third;
+        else
+          Low += Third;
+      }
+      Prices[Service] = (Low + High) / 2;
+    }
+  return Bound() / Result.offeredWorth();
+}
+
 ModelResult simulate(const ModelSite &Site, ModelPlacement Rule,
                      std::uint64_t Seed) {
   return Simulation(Site, Rule, Seed).run();
--- a/testing/model/mesh_model.h
+++ b/testing/model/mesh_model.h
@@ -41,6 +41,9 @@
   Millis ProcessingTime{120};
   /// Parameter of the lognormal distribution of processing times.
   double Spread = 0.3;
+  /// Part of the calls that take `TailFactor` times as long.
+  double TailShare = 0;
+  double TailFactor = 7;
   Millis Objective{400};
   Millis Deadline{1500};
   std::uint32_t Priority = 1;
@@ -51,10 +54,21 @@
   /// and the probability that it does. Such calls have no rate of their own.
   std::string NestedKind = {};
   double NestedProbability = 0;
+  /// Number of nested calls, made at the same time.
+  int NestedCalls = 1;
+  /// Whether calls of this kind say that they are nested.
+  bool IsNested = false;
+  /// What a response on time and a late one are worth to the caller. The
+  /// decisions don't know it.
+  double Worth = 1;
+  double LateWorth = 0.3;
 };
 
 struct ModelSite {
   std::size_t DataCentres = 3;
+  /// Nodes that callers of a data centre use. Each has its own view of the
+  /// upstreams.
+  std::size_t NodesPerDataCentre = 1;
   std::vector<ModelUpstream> Upstreams;
   std::vector<ModelKind> Kinds;
   Millis Duration{20000};
@@ -62,6 +76,16 @@
   double BurstFactor = 1;
   Millis BurstFrom{0};
   Millis BurstUntil{0};
+  /// Rates swing by this part of them, in each data centre at another time.
+  double WaveHeight = 0;
+  Millis WavePeriod{17000};
+  /// Part of the time in which an upstream's host is slow, for how long at a
+  /// time, and how many times as long work takes then.
+  double SlowSpellShare = 0;
+  Millis SlowSpellTime{600};
+  double SlowSpellFactor = 2.5;
+  /// Whether upstreams report how long work takes at the moment.
+  bool ReportsSpeed = true;
 };
 
 /// What became of the callers' requests.
@@ -75,9 +99,16 @@
   int Failed = 0;
   /// Requests of which a retry was rejected again.
   int RejectedAgain = 0;
+  double Worth = 0;
 
   ModelCounts &operator+=(const ModelCounts &Other);
 
+  /// Returns the share of the requests that were answered, on time or late.
+  double servedShare() const {
+    return this->Offered == 0
+               ? 1
+               : static_cast<double>(this->OnTime + this->Late) / this->Offered;
+  }
   double onTimeShare() const {
     return this->Offered == 0
                ? 1
@@ -85,6 +116,13 @@
   }
 };
 
+/// A request that a caller made, whatever became of it.
+struct ModelDemand {
+  const ModelKind *Kind = nullptr;
+  /// Its work at an upstream of slowness 1, in seconds.
+  double Work = 0;
+};
+
 struct ModelResult {
   /// By kind and by data centre of the caller.
   std::map<std::string, ModelCounts> ByKind;
@@ -92,7 +130,19 @@
   std::uint64_t RemoteBytes = 0;
   /// Work of upstreams whose response was of no use, in seconds.
   double WastedSeconds = 0;
+  /// Time in which a slot was free while a call waited at another upstream of
+  /// the same service in the same data centre, in seconds of slots. At most one
+  /// slot counts for each waiting call.
+  double IdleSlotSeconds = 0;
+  /// By the second of their arrival.
+  std::map<std::int64_t, ModelCounts> BySecond;
+  std::vector<ModelDemand> Demand;
 
+  double offeredWorth() const;
+  /// Returns the earned part of the worth of the requests.
+  double worthShare() const {
+    return this->total().Worth / this->offeredWorth();
+  }
   ModelCounts total() const;
 };
 
@@ -112,6 +162,12 @@
 ModelResult simulate(const ModelSite &Site, ModelPlacement Rule,
                      std::uint64_t Seed);
 
+/// Returns a bound on the part of the worth of the requests that any scheduler
+/// could have earned: each request takes its work, and no more work is done
+/// than the slots have time for. Leaves out what depends on when requests
+/// arrive.
+double worthBound(const ModelSite &Site, const ModelResult &Result);
+
 } // namespace persimmonquay::testing
 
 #endif // PERSIMMONQUAY_TESTING_MODEL_MESH_MODEL_H
--- a/testing/model/mesh_model_test.cc
+++ b/testing/model/mesh_model_test.cc
@@ -1,6 +1,7 @@
 // Replays load patterns against the decisions on placement and admission, and
 // compares them with simpler rules.
 #include "testing/model/mesh_model.h"
+#include <cmath>
 #include <doctest/doctest.h>
 
 namespace persimmonquay::testing {
@@ -168,5 +169,100 @@
   CHECK(Expected.ByKind["order"].onTimeShare() > 0.6);
 }
 
+/// A service whose callers' kinds differ in priority and objective, and which
+/// upstreams of another service call while they serve bookings. `Load` is the
+/// work that arrives compared with what the service has room for.
+ModelSite operationsSite(double Load) {
+  ModelSite Site;
+  Site.NodesPerDataCentre = 4;
+  for (std::size_t DataCentre = 0; DataCentre < 3; ++DataCentre) {
+    for (int I = 0; I < 3; ++I)
+      Site.Upstreams.push_back(
+          {.Service = "operations", .DataCentre = DataCentre});
+    for (int I = 0; I < 6; ++I)
+      Site.Upstreams.push_back(
+          {.Service = "bookings",
+           .DataCentre = DataCentre,
+           .Slots = static_cast<std::size_t>(4 + std::ceil(9 * Load))});
+  }
+  const auto Rates = [Load](double CallsPerSecond) {
+    return std::vector<double>(3, CallsPerSecond * Load / 3);
+  };
+  Site.Kinds = {{.Name = "refund",
+                 .Service = "operations",
+                 .IsIdempotent = false,
+                 .Rates = Rates(282),
+                 .ProcessingTime = Millis(110),
+                 .Objective = Millis(400),
+                 .Deadline = Millis(800),
+                 .Priority = 0},
+                {.Name = "download",
+                 .Service = "operations",
+                 .Rates = Rates(343),
+                 .ProcessingTime = Millis(110),
+                 .Objective = Millis(1200),
+                 .Deadline = Millis(2000),
+                 .Priority = 2,
+                 .TransferBytes = 90000},
+                {.Name = "booking",
+                 .Service = "bookings",
+                 .IsIdempotent = false,
+                 .Rates = Rates(348),
+                 .ProcessingTime = Millis(180),
+                 .Objective = Millis(600),
+                 .Deadline = Millis(2500),
+                 .Priority = 0,
+                 .NestedKind = "roster",
+                 .NestedProbability = 1},
+                {.Name = "roster",
+                 .Service = "operations",
+                 .ProcessingTime = Millis(35),
+                 .Objective = Millis(150),
+                 .Deadline = Millis(400),
+                 .Priority = 1,
+                 .CallerRetries = 0,
+                 .IsNested = true}};
+  return Site;
+}
+
+TEST_CASE("in a shortage, nested calls are served and no kind is starved") {
+  for (const double Load : {1.5, 2.5}) {
+    const ModelSite Site = operationsSite(Load);
+    const ModelResult Result = simulate(Site, ModelPlacement::Expected, 1);
+    const ModelCounts &Refunds = Result.ByKind.at("refund");
+    const ModelCounts &Downloads = Result.ByKind.at("download");
+    CHECK(Result.ByKind.at("booking").onTimeShare() > 0.97);
+    CHECK(Refunds.servedShare() > Downloads.servedShare());
+    CHECK(Downloads.servedShare() > Result.total().servedShare() / 4);
+    CHECK(Result.WastedSeconds < 50);
+    CHECK(Result.worthShare() > 0.8 * worthBound(Site, Result));
+  }
+}
+
+TEST_CASE("in a shortage, most of the calls that take little work are served") {
+  ModelSite Site;
+  for (std::size_t DataCentre = 0; DataCentre < 3; ++DataCentre)
+    for (int I = 0; I < 4; ++I)
+      Site.Upstreams.push_back(
+          {.Service = "search", .DataCentre = DataCentre, .Slots = 4});
+  // Two and a half times as much work as the 48 slots can do.
+  Site.Kinds = {{.Name = "small",
+                 .Service = "search",
+                 .Rates = std::vector<double>(3, 417),
+                 .ProcessingTime = Millis(48),
+                 .Objective = Millis(600)},
+                {.Name = "large",
+                 .Service = "search",
+                 .Rates = std::vector<double>(3, 100),
+                 .ProcessingTime = Millis(200),
+                 .Objective = Millis(600)}};
+  const ModelResult Result = simulate(Site, ModelPlacement::Expected, 1);
+  // A quarter of the common share of 0.57 goes to the large ones, which leaves
+  // room for 0.65 of the small ones.
+  CHECK(Result.ByKind.at("small").onTimeShare() > 0.95 * 0.65);
+  CHECK(Result.ByKind.at("large").servedShare() >
+        Result.total().servedShare() / 4);
+}
+
 } // namespace
 } // namespace persimmonquay::testing
