traffic, daemon: upstreams are ranked by the speed that they report

The fourth figure of the load header, how long work takes on the upstream's host at the moment, was not read, and averages over the latest calls follow a slow time of 600 ms too late. The gate reads it, predicts waits by it and passes it on in LoadReport.work_percent; HostSpeed lets a report lose its weight within a second. Processing times are kept at usual speed. Without the figure nothing changes.

The test compares with upstreams that don't report.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -464,9 +464,10 @@
   const MonoTime Now = monoNow();
   const std::string &Node = Target.Entry.node();
   if (Reply.has_load()) {
-    Target.View.recordLoad(
-        Reply.load().running(), Reply.load().waiting(), Reply.load().slots(),
-        std::chrono::microseconds(Reply.load().wait_us()), Now);
+    Target.View.recordLoad(Reply.load().running(), Reply.load().waiting(),
+                           Reply.load().slots(),
+                           std::chrono::microseconds(Reply.load().wait_us()),
+                           Now, Reply.load().work_percent());
     Target.View.recordFleetFailureRate(Reply.load().failed_permille() / 1000.0,
                                        Now);
     // A node that has restarted doesn't know the limit until a call has
@@ -527,7 +528,8 @@
   }
   Call.Placement.recordBusy(
       {Target.Entry.node(), Target.Entry.data_centre(), Target.View},
-      Micros(Reply.load().wait_us()));
+      Micros(Reply.load().wait_us()) +
+          Target.View.speed().extraTime(Call.MeanProcessingTime, Now));
   if (!Target.View.isLocal())
     this->serviceState(Call.Service)
         .RemoteBusyUntil[Target.Entry.data_centre()] =
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -680,6 +680,10 @@
                   "Calls a second that the own upstream takes, 0 if it names "
                   "no limit",
                   Load.limit_per_s());
+  Gauges.setGauge("pq_gate_work_percent",
+                  "How long work takes on the own upstream's host, 100 as "
+                  "usual, 0 if unknown",
+                  Load.work_percent());
   Gauges.setGauge("pq_gate_turned_away",
                   "Part of the calls that the own upstream had no room for "
                   "lately, 0 to 1",
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -8,6 +8,7 @@
 #include "persimmonquay/daemon/sockets.h"
 #include "persimmonquay/fleet/upstream_notices.h"
 #include "persimmonquay/traffic/request_fingerprint.h"
+#include "persimmonquay/traffic/upstream_load.h"
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
@@ -87,6 +88,10 @@
 /// shortages.
 constexpr double ShortageLogLinesPerSecond = 0.5;
 
+/// Maximum rate of log lines per second about unreadable loads, which come with
+/// every response.
+constexpr double BadLoadLogLinesPerSecond = 0.1;
+
 /// Number of suspects of a crash that wait for the end of another one.
 constexpr std::size_t MaxHeldSuspects = 16;
 
@@ -179,6 +184,7 @@
       SuccessLogLimit(internal::SuccessLogLinesPerSecond,
                       internal::SuccessLogLinesPerSecond),
       ShortageLogLimit(internal::ShortageLogLinesPerSecond, 2),
+      BadLoadLogLimit(internal::BadLoadLogLinesPerSecond, 1),
       Headers(std::move(UpstreamHeaders)), Address(UpstreamAddress),
       MaxResponseBytes(internal::DefaultMaxResponseBytes),
       Received(internal::MaxLargestResponses *
@@ -226,8 +232,8 @@
           Request.priority(),
           Arrival + Millis(Request.objective_ms()),
           Arrival + Millis(Request.remaining_ms()),
-          Expected.mean(),
-          Expected.upper(),
+          this->Speed.scale(Expected.mean(), monoNow()),
+          this->Speed.scale(Expected.upper(), monoNow()),
           hashBytes(Request.route(), Request.priority()),
           Request.nested()};
 }
@@ -308,8 +314,10 @@
     this->ActiveSuspect = NewCall->Ticket;
     return true;
   }
-  const Micros Wait = this->expectedProcessingTime(NewCall->Request).mean() *
-                      static_cast<std::int64_t>(this->HeldSuspects.size() + 1);
+  const Micros Wait =
+      this->Speed.scale(this->expectedProcessingTime(NewCall->Request).mean(),
+                        monoNow()) *
+      static_cast<std::int64_t>(this->HeldSuspects.size() + 1);
   if (Wait > MaxWait ||
       this->HeldSuspects.size() >= internal::MaxHeldSuspects) {
     this->reject({NewCall->Ticket, BusyReason, Wait});
@@ -385,6 +393,7 @@
     this->FailureRate = 0;
     this->IsUpstreamDown = false;
     this->HasReadLimit = false;
+    this->Speed = HostSpeed();
     this->setLimit(std::nullopt);
   }
   this->Upstream = std::move(Entry);
@@ -425,6 +434,7 @@
       this->Queue.predictedWait(monoNow()).count(), UINT32_MAX)));
   Report.set_failed_permille(
       static_cast<std::uint32_t>(std::lround(this->FailureRate * 1000)));
+  Report.set_work_percent(this->Speed.percent(monoNow()));
   Report.set_limit_per_s(this->Queue.rateLimit().value_or(0));
   return Report;
 }
@@ -832,6 +842,7 @@
   // 421 comes from another upstream at the same address.
   if (Status != 421) {
     this->readLimit(Response);
+    this->readLoad(Response);
     Reply.set_upstream_leaving(this->readLeaving(Response));
   }
   if (Response.find(this->Headers.NotExecuted) != Response.end() ||
@@ -879,6 +890,19 @@
            {"limit", std::string(Field->value())}});
 }
 
+void UpstreamGate::readLoad(const HttpResponse &Response) {
+  const auto Field = Response.find(this->Headers.ServerLoad);
+  if (Field == Response.end())
+    return;
+  if (const std::optional<UpstreamLoad> Load =
+          parseUpstreamLoad(std::string_view(Field->value())))
+    this->Speed.record(Load->WorkPercent, monoNow());
+  else if (this->BadLoadLogLimit.allow(monoNow()))
+    logLine(LogLevel::Warning, "load of the upstream can't be read",
+            {{"instance", this->Upstream ? this->Upstream->instance() : ""},
+             {"load", std::string(Field->value())}});
+}
+
 bool UpstreamGate::readLeaving(const HttpResponse &Response) {
   if (Response[this->Headers.ServerLeaving] != "1")
     return false;
@@ -911,10 +935,12 @@
       Reply.outcome() == proto::NOT_RUN;
   this->FailureRate +=
       internal::FailureRateWeight * ((Failed ? 1.0 : 0.0) - this->FailureRate);
-  if (!Failed)
-    this->ProcessingTimes
-        .try_emplace(ActiveCall.Request.route(), ProcessingTime)
-        .first->second.add(ProcessingTime);
+  if (!Failed) {
+    const Micros UsualTime =
+        this->Speed.atUsualSpeed(ProcessingTime, monoNow());
+    this->ProcessingTimes.try_emplace(ActiveCall.Request.route(), UsualTime)
+        .first->second.add(UsualTime);
+  }
   if (this->OnResult)
     this->OnResult({ActiveCall.Request.route(), Failed, ProcessingTime});
 }
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -11,6 +11,7 @@
 #include "persimmonquay/daemon/upstream_watch.h"
 #include "persimmonquay/traffic/admission_queue.h"
 #include "persimmonquay/traffic/crash_ledger.h"
+#include "persimmonquay/traffic/host_speed.h"
 #include "persimmonquay/traffic/processing_time_estimate.h"
 #include "persimmonquay/traffic/response_memory.h"
 #include "persimmonquay/traffic/unattended_calls.h"
@@ -208,6 +209,8 @@
   /// none.
   void readLimit(const HttpResponse &Response);
   void setLimit(std::optional<double> CallsPerSecond);
+  /// Reads the load that a response names, if any.
+  void readLoad(const HttpResponse &Response);
   /// Returns whether a response says that the upstream leaves; passes that on
   /// the first time.
   bool readLeaving(const HttpResponse &Response);
@@ -225,6 +228,7 @@
   Metrics &Counters;
   RateLimiter SuccessLogLimit;
   RateLimiter ShortageLogLimit;
+  RateLimiter BadLoadLogLimit;
   HeaderNames Headers;
   Tcp::endpoint Address;
   std::optional<proto::UpstreamEntry> Upstream;
@@ -257,7 +261,9 @@
   UpstreamConnectionPool Pool;
   UpstreamWatch Watch;
   std::map<std::uint64_t, std::shared_ptr<Call>> Calls;
-  /// Processing time at the upstream, by route.
+  /// As reported by the upstream.
+  HostSpeed Speed;
+  /// Processing time at the upstream at usual speed, by route.
   std::map<std::string, ProcessingTimeEstimate> ProcessingTimes;
   /// Moving average of the fraction of calls that failed, 0 to 1.
   double FailureRate = 0;
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -407,6 +407,32 @@
 }
 
 // The gate beside the upstream has restarted; the caller's node remembers.
+TEST_CASE("the speed that the upstream reports is passed on while it is new") {
+  GateFixture Fixture;
+  const auto CallWithLoad = [&Fixture](const std::string &Id,
+                                       const std::string &Load) {
+    std::string Response = responseTo(Id);
+    Response.insert(Response.find("\r\n") + 2, "x-pq-load: " + Load + "\r\n");
+    Fixture.Scripts[Id].Bytes = Response;
+    return Fixture.call(Id).load().work_percent();
+  };
+  CHECK(CallWithLoad("a", "1,0,4") == 0);
+  CHECK(CallWithLoad("b", "1,0,4,0") == 0);
+  CHECK(CallWithLoad("c", "1,0,4,100") == 100);
+  CHECK(CallWithLoad("d", "1,0,4,400") > 390);
+  CHECK(CallWithLoad("e", "1,0,4,many") > 100);
+  CHECK(CallWithLoad("f", "1,0,4,4000000000") > 990);
+  CHECK(CallWithLoad("g", "1,0,4,100,3") < 110);
+  CHECK(CallWithLoad("h", "1,0,4,250") > 240);
+  Fixture.runFor(Millis(1200));
+  CHECK(Fixture.Gate.load().work_percent() < 150);
+  // Another upstream may have another host.
+  proto::UpstreamEntry Next = *Fixture.Gate.upstream();
+  Next.set_instance("i-2");
+  Fixture.Gate.setUpstream(Next);
+  CHECK(Fixture.Gate.load().work_percent() == 0);
+}
+
 TEST_CASE("a limit that a caller's node knows binds until the upstream names "
           "one itself") {
   GateFixture Fixture;
--- a/persimmonquay/traffic/call_placement.cc
+++ b/persimmonquay/traffic/call_placement.cc
@@ -63,7 +63,8 @@
 /// Upstreams of other data centres don't count as faster than usual: the lowest
 /// of several noisy measurements would draw calls away from a data centre that
 /// serves them as well.
-std::vector<double> slownessOf(const std::vector<PlacementTarget> &Targets) {
+std::vector<double> slownessOf(const std::vector<PlacementTarget> &Targets,
+                               MonoTime Now) {
   std::optional<double> Fastest;
   for (const PlacementTarget &Target : Targets)
     if (const std::optional<double> Slowness = Target.View.slowness();
@@ -74,8 +75,9 @@
   for (const PlacementTarget &Target : Targets) {
     const double Slowness = Target.View.slowness().value_or(
         std::min(Fastest.value_or(1.0), 1.0) * UnmeasuredSlowness);
-    Result.push_back(Target.View.isLocal() ? Slowness
-                                           : std::max(Slowness, 1.0));
+    Result.push_back(
+        (Target.View.isLocal() ? Slowness : std::max(Slowness, 1.0)) *
+        Target.View.speed().factor(Now));
   }
   return Result;
 }
@@ -107,7 +109,7 @@
   this->NoLocalUpstream = std::none_of(
       Targets.begin(), Targets.end(),
       [](const PlacementTarget &Target) { return Target.View.isLocal(); });
-  const std::vector<double> Slowness = internal::slownessOf(Targets);
+  const std::vector<double> Slowness = internal::slownessOf(Targets, Now);
   const auto LossAt = [&](std::size_t Index, Micros Wait) {
     return expectedLoss(Goal, Targets[Index].View, Slowness[Index], Wait, Now);
   };
--- /dev/null
+++ b/persimmonquay/traffic/upstream_load.cc
@@ -0,0 +1,44 @@
+#include "persimmonquay/traffic/upstream_load.h"
+
+#include <array>
+#include <charconv>
+
+namespace persimmonquay {
+namespace internal {
+
+/// Longest text that is read; four figures take far less.
+constexpr std::size_t MaxLoadLength = 64;
+
+constexpr std::size_t MinFigures = 3;
+
+std::string_view trim(std::string_view Text) {
+  while (Text.starts_with(' '))
+    Text.remove_prefix(1);
+  while (Text.ends_with(' '))
+    Text.remove_suffix(1);
+  return Text;
+}
+
+} // namespace internal
+
+std::optional<UpstreamLoad> parseUpstreamLoad(std::string_view Text) {
+  if (Text.size() > internal::MaxLoadLength)
+    return std::nullopt;
+  std::array<std::uint32_t, 4> Figures{};
+  std::size_t Count = 0;
+  for (bool IsLast = false; !IsLast && Count < Figures.size(); ++Count) {
+    const std::size_t Comma = Text.find(',');
+    IsLast = Comma == Text.npos;
+    const std::string_view Figure = internal::trim(Text.substr(0, Comma));
+    const auto [End, Error] =
+        std::from_chars(Figure.begin(), Figure.end(), Figures[Count]);
+    if (Error != std::errc() || End != Figure.end())
+      return std::nullopt;
+    Text.remove_prefix(IsLast ? Text.size() : Comma + 1);
+  }
+  if (Count < internal::MinFigures)
+    return std::nullopt;
+  return UpstreamLoad{Figures[0], Figures[1], Figures[2], Figures[3]};
+}
+
+} // namespace persimmonquay
--- a/persimmonquay/traffic/upstream_ranking.cc
+++ b/persimmonquay/traffic/upstream_ranking.cc
@@ -45,7 +45,9 @@
 
 void UpstreamView::recordLoad(std::uint32_t Running, std::uint32_t,
                               std::uint32_t SlotCount,
-                              std::chrono::microseconds Wait, MonoTime Now) {
+                              std::chrono::microseconds Wait, MonoTime Now,
+                              std::uint32_t WorkPercent) {
+  this->Speed.record(WorkPercent, Now);
   this->ReportedRunning = Running;
   this->Slots = std::max<std::uint32_t>(SlotCount, 1);
   this->ReportedWait = Wait;
@@ -65,10 +67,11 @@
   this->UnavailableBackoff = Millis{0};
   if (Failed)
     return;
-  this->ProcessingTime.add(CallProcessingTime);
+  const Micros UsualTime = this->Speed.atUsualSpeed(CallProcessingTime, Now);
+  this->ProcessingTime.add(UsualTime);
   if (TypicalTime.count() <= 0)
     return;
-  const double Ratio = std::chrono::duration<double>(CallProcessingTime) /
+  const double Ratio = std::chrono::duration<double>(UsualTime) /
                        std::chrono::duration<double>(TypicalTime);
   this->SlownessSamples =
       std::min(this->SlownessSamples + 1, internal::MaxSlownessSamples);
@@ -119,8 +122,8 @@
 
 std::chrono::microseconds UpstreamView::expectedCost(
     MonoTime Now, std::chrono::microseconds DefaultProcessingTime) const {
-  const std::chrono::microseconds ExpectedProcessingTime =
-      this->measuredProcessingTime().value_or(DefaultProcessingTime);
+  const std::chrono::microseconds ExpectedProcessingTime = this->Speed.scale(
+      this->measuredProcessingTime().value_or(DefaultProcessingTime), Now);
   const double Load =
       static_cast<double>(std::max(this->ReportedRunning, this->InFlight)) /
       this->Slots;
--- a/persimmonquay/traffic/upstream_ranking.h
+++ b/persimmonquay/traffic/upstream_ranking.h
@@ -14,6 +14,7 @@
 #define PERSIMMONQUAY_TRAFFIC_UPSTREAM_RANKING_H
 
 #include "persimmonquay/base/time.h"
+#include "persimmonquay/traffic/host_speed.h"
 #include "persimmonquay/traffic/processing_time_estimate.h"
 #include <cstddef>
 #include <cstdint>
@@ -36,11 +37,13 @@
   void recordSent() { ++this->InFlight; }
   /// Records that a sent call has ended, whether it succeeded or not.
   void recordEnded() { this->InFlight -= this->InFlight > 0 ? 1 : 0; }
-  /// Records the load reported in a reply.
+  /// Records the load reported in a reply. `WorkPercent` is how long work takes
+  /// there at the moment as a percentage of the usual time, or 0 if unknown.
   void recordLoad(std::uint32_t Running, std::uint32_t Waiting,
                   std::uint32_t SlotCount, std::chrono::microseconds Wait,
-                  MonoTime Now);
-  /// Records the result of a call that reached the upstream.
+                  MonoTime Now, std::uint32_t WorkPercent = 0);
+  /// Records the result of a call that reached the upstream, after the load
+  /// that was reported with it.
   /// `CallProcessingTime` is ignored if the call failed. `TypicalTime` is the
   /// mean processing time of such calls over all upstreams, or 0 if unknown.
   void recordResult(
@@ -71,12 +74,16 @@
   /// Returns the expected time that a call would wait for a slot there.
   std::chrono::microseconds expectedWait(MonoTime Now) const;
 
-  /// Returns the mean measured processing time, or none if no call has
-  /// succeeded there yet.
+  /// Returns the reported speed of the upstream's host.
+  const HostSpeed &speed() const { return this->Speed; }
+
+  /// Returns the mean measured processing time at usual speed, or none if no
+  /// call has succeeded there yet.
   std::optional<std::chrono::microseconds> measuredProcessingTime() const;
 
-  /// Returns the processing time of calls there compared with the same calls at
-  /// other upstreams: above 1 if this one is slower. None if unknown.
+  /// Returns the processing time of calls there at usual speed, compared with
+  /// the same calls at other upstreams: above 1 if this one is slower. None if
+  /// unknown.
   std::optional<double> slowness() const {
     return this->SlownessSamples > 0 ? std::optional(this->Slowness)
                                      : std::nullopt;
@@ -101,6 +108,7 @@
   std::uint32_t InFlightAtReport = 0;
   std::chrono::microseconds ReportedWait{0};
   MonoTime ReportedAt;
+  HostSpeed Speed;
   ProcessingTimeEstimate ProcessingTime{std::chrono::milliseconds(100)};
   /// Moving average over the latest calls.
   double Slowness = 1;
--- a/testing/model/mesh_model.cc
+++ b/testing/model/mesh_model.cc
@@ -98,6 +98,7 @@
 /// The gate next to an upstream.
 struct Gate {
   AdmissionQueue Queue{0};
+  HostSpeed Speed;
   std::map<std::string, ProcessingTimeEstimate> ProcessingTimes;
   std::map<std::uint64_t, std::pair<CallPointer, std::function<void(bool)>>>
       Calls;
@@ -398,8 +399,8 @@
     Queued.Priority = Call->Kind->Priority;
     Queued.Objective = Call->Objective;
     Queued.Deadline = Call->Deadline;
-    Queued.ProcessingTime = Estimate.mean();
-    Queued.UpperProcessingTime = Estimate.upper();
+    Queued.ProcessingTime = At.Speed.scale(Estimate.mean(), this->Now);
+    Queued.UpperProcessingTime = At.Speed.scale(Estimate.upper(), this->Now);
     Queued.Kind = std::hash<std::string>()(Call->Kind->Name);
     Queued.Nested = Call->Kind->IsNested;
     At.Calls[Queued.Id] = {Call,
@@ -495,10 +496,15 @@
         NestedFailed || this->Now > Call->Deadline ||
         std::uniform_real_distribution<double>(0, 1)(this->ChoiceRandom) <
             this->Site.Upstreams[Target].FailureRate;
+    if (this->Site.ReportsSpeed)
+      At.Speed.record(static_cast<std::uint32_t>(
+                          100 * this->speedFactor(Target, this->Now)),
+                      this->Now);
     if (Failed)
       this->Result.WastedSeconds += seconds(Taken);
     else
-      this->gateEstimate(At, *Call->Kind).add(Taken);
+      this->gateEstimate(At, *Call->Kind)
+          .add(At.Speed.atUsualSpeed(Taken, this->Now));
     At.Queue.finish(Id);
     At.Calls.erase(Id);
     CallerNode &Node = this->Nodes[Call->Node];
@@ -529,23 +535,24 @@
     const std::size_t DataCentre = this->Site.Upstreams[Target].DataCentre;
     const bool IsLocal = DataCentre == Call->DataCentre;
     const Micros Wait = At.Queue.predictedWait(this->Now);
-    this->Events.at(this->Now + (IsLocal ? LocalDelay : RemoteDelay),
-                    [this, Call, Target, DataCentre, IsLocal, Wait] {
-                      CallerNode &Node = this->Nodes[Call->Node];
-                      this->recordLoad(Node, Target);
-                      Node.Views[Target].recordEnded();
-                      if (!IsLocal) {
-                        Node.BusyUntil[{Call->Kind->Service, DataCentre}] =
-                            this->Now + RemoteBusyBackoff;
-                        this->Result.RemoteBytes += 500;
-                      }
-                      Call->Placement.recordBusy(
-                          {this->NodeNames[Target],
-                           this->DataCentreNames[DataCentre],
-                           Node.Views[Target]},
-                          Wait);
-                      this->offerNext(Call);
-                    });
+    this->Events.at(
+        this->Now + (IsLocal ? LocalDelay : RemoteDelay),
+        [this, Call, Target, DataCentre, IsLocal, Wait] {
+          CallerNode &Node = this->Nodes[Call->Node];
+          this->recordLoad(Node, Target);
+          Node.Views[Target].recordEnded();
+          if (!IsLocal) {
+            Node.BusyUntil[{Call->Kind->Service, DataCentre}] =
+                this->Now + RemoteBusyBackoff;
+            this->Result.RemoteBytes += 500;
+          }
+          Call->Placement.recordBusy(
+              {this->NodeNames[Target], this->DataCentreNames[DataCentre],
+               Node.Views[Target]},
+              Wait + Node.Views[Target].speed().extraTime(
+                         this->goalOf(*Call).MeanProcessingTime, this->Now));
+          this->offerNext(Call);
+        });
   }
 
   void recordLoad(CallerNode &Node, std::size_t Target) {
@@ -553,7 +560,8 @@
     Node.Views[Target].recordLoad(static_cast<std::uint32_t>(Queue.running()),
                                   static_cast<std::uint32_t>(Queue.waiting()),
                                   static_cast<std::uint32_t>(Queue.slots()),
-                                  Queue.predictedWait(this->Now), this->Now);
+                                  Queue.predictedWait(this->Now), this->Now,
+                                  this->Gates[Target].Speed.percent(this->Now));
   }
 
   void reply(const CallPointer &Call, std::size_t Target, Micros Delay,
--- a/testing/model/mesh_model_test.cc
+++ b/testing/model/mesh_model_test.cc
@@ -36,6 +36,7 @@
         this->ByKind[Kind] += Counts;
       this->Total += Result.total();
       this->RemoteBytes += Result.RemoteBytes;
+      this->IdleSlotSeconds += Result.IdleSlotSeconds;
     }
   }
 
@@ -55,6 +56,7 @@
   std::vector<ModelCounts> ByDataCentre;
   std::map<std::string, ModelCounts> ByKind;
   std::uint64_t RemoteBytes = 0;
+  double IdleSlotSeconds = 0;
 };
 
 TEST_CASE("a data centre with slow upstreams is served as well as the others") {
@@ -239,6 +241,34 @@
   }
 }
 
+TEST_CASE("calls avoid upstreams whose host is slow at the moment") {
+  ModelSite Site;
+  Site.NodesPerDataCentre = 4;
+  Site.SlowSpellShare = 0.15;
+  for (std::size_t DataCentre = 0; DataCentre < 3; ++DataCentre)
+    for (int I = 0; I < 4; ++I)
+      Site.Upstreams.push_back(
+          {.Service = "fleet", .DataCentre = DataCentre, .Slots = 4});
+  // Room for 260 calls of each data centre, less while hosts are slow.
+  Site.Kinds = {{.Name = "view",
+                 .Service = "fleet",
+                 .Rates = std::vector<double>(3, 180),
+                 .ProcessingTime = Millis(60),
+                 .Objective = Millis(160),
+                 .Deadline = Millis(600)}};
+  const Sum Told(Site, ModelPlacement::Expected);
+  Site.ReportsSpeed = false;
+  const Sum Untold(Site, ModelPlacement::Expected);
+  const auto Missed = [](const Sum &Result) {
+    return 1 - Result.Total.onTimeShare();
+  };
+  CAPTURE(Missed(Told));
+  CAPTURE(Missed(Untold));
+  CAPTURE(Told.IdleSlotSeconds);
+  CAPTURE(Untold.IdleSlotSeconds);
+  CHECK(Missed(Told) < 0.75 * Missed(Untold));
+}
+
 TEST_CASE("in a shortage, most of the calls that take little work are served") {
   ModelSite Site;
   for (std::size_t DataCentre = 0; DataCentre < 3; ++DataCentre)
