--- a/persimmonquay/accounts/caller_key.cc
+++ b/persimmonquay/accounts/caller_key.cc
@@ -1,5 +1,6 @@
 #include "persimmonquay/accounts/caller_key.h"
 
+#include "persimmonquay/base/trim.h"
 #include <absl/strings/ascii.h>
 #include <algorithm>
 
@@ -8,15 +9,6 @@
 
 constexpr std::string_view Scheme = "bearer";
 
-/// Removes spaces and tabs at both ends.
-std::string_view trim(std::string_view Text) {
-  constexpr std::string_view Blanks = " \t";
-  const std::size_t First = Text.find_first_not_of(Blanks);
-  return First == Text.npos
-             ? std::string_view()
-             : Text.substr(First, Text.find_last_not_of(Blanks) + 1 - First);
-}
-
 bool hasBearerScheme(std::string_view Value) {
   return Value.size() > Scheme.size() && Value[Scheme.size()] == ' ' &&
          std::equal(Scheme.begin(), Scheme.end(), Value.begin(),
@@ -38,10 +30,9 @@
 CallerKey readCallerKey(std::span<const std::string_view> Values) {
   if (Values.empty())
     return {};
-  const std::string_view Value = internal::trim(Values.front());
+  const std::string_view Value = trim(Values.front());
   if (Values.size() == 1 && internal::hasBearerScheme(Value)) {
-    const std::string_view Key =
-        internal::trim(Value.substr(internal::Scheme.size()));
+    const std::string_view Key = trim(Value.substr(internal::Scheme.size()));
     if (isCallerKey(Key))
       return {CallerKey::Kind::Readable, Key};
   }
--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -565,9 +565,10 @@
   const MonoTime Now = monoNow();
   const std::string &Node = Target.Entry.node();
   if (Reply.has_load()) {
-    Target.View.recordLoad(
-        Reply.load().running(), Reply.load().waiting(), Reply.load().slots(),
-        std::chrono::microseconds(Reply.load().wait_us()), Now);
+    Target.View.recordLoad(Reply.load().running(), Reply.load().waiting(),
+                           Reply.load().slots(),
+                           std::chrono::microseconds(Reply.load().wait_us()),
+                           Now, Reply.load().work_percent());
     Target.View.recordFleetFailureRate(Reply.load().failed_permille() / 1000.0,
                                        Now);
     // A node that has restarted doesn't know the limit until a call has
@@ -631,7 +632,8 @@
     Target.View.recordClosed(Now + Millis(Reply.retry_after_ms()));
   Call.Placement.recordBusy(
       {Target.Entry.node(), Target.Entry.data_centre(), Target.View},
-      Micros(Reply.load().wait_us()));
+      Micros(Reply.load().wait_us()) +
+          Target.View.speed().extraTime(Call.MeanProcessingTime, Now));
   // The other upstreams of the data centre may be warm.
   if (!Target.View.isLocal() && Reply.reason() != ColdReason)
     this->serviceState(Call.Service)
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -833,6 +833,14 @@
   Gauges.setGauge("pq_evacuated_data_centres",
                   "Data centres that the operator has evacuated",
                   static_cast<double>(this->Evacuations.activeCount()));
+  Gauges.setGauge("pq_gate_work_percent",
+                  "How long work takes on the own upstream's host, 100 as "
+                  "usual, 0 if unknown",
+                  Load.work_percent());
+  Gauges.setGauge("pq_gate_turned_away",
+                  "Part of the calls that the own upstream had no room for "
+                  "lately, 0 to 1",
+                  this->Gate.rejectedShare());
   Gauges.setGauge("pq_configuration_version", "Configuration in force",
                   this->Router.routes()
                       ? static_cast<double>(this->Router.routes()->version())
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -12,6 +12,7 @@
 #include "persimmonquay/traffic/admission_queue.h"
 #include "persimmonquay/traffic/cold_start_limiter.h"
 #include "persimmonquay/traffic/crash_ledger.h"
+#include "persimmonquay/traffic/host_speed.h"
 #include "persimmonquay/traffic/processing_time_estimate.h"
 #include "persimmonquay/traffic/response_memory.h"
 #include "persimmonquay/traffic/unattended_calls.h"
@@ -152,6 +153,10 @@
   bool isColdAssumed() const { return this->ColdStart.isAssumed(monoNow()); }
   /// Returns the number of calls rejected because the upstream was cold.
   std::uint64_t coldRejections() const { return this->ColdRejections; }
+  /// Returns the part of the calls that was turned away lately, 0 to 1.
+  double rejectedShare() const {
+    return this->Queue.tally().rejectedShare(monoNow());
+  }
   std::size_t callsInFlight() const { return this->Calls.size(); }
   const std::optional<proto::UpstreamEntry> &upstream() const {
     return this->Upstream;
@@ -199,6 +204,8 @@
   void addCrashes(const Call &ActiveCall, proto::CallReply &Reply) const;
   /// Sends a reply with the current load unless the call is cancelled.
   void reply(Call &ActiveCall, proto::CallReply Reply);
+  /// Logs the beginning and the end of a shortage.
+  void logShortage();
   /// Sets the timer for the next expiry of a queued call.
   void armExpiryTimer();
   /// Runs a started call, including one resend, and replies.
@@ -236,6 +243,8 @@
   /// none.
   void readLimit(const HttpResponse &Response);
   void setLimit(std::optional<double> CallsPerSecond);
+  /// Reads the load that a response names, if any.
+  void readLoad(const HttpResponse &Response);
   /// Returns whether a response says that the upstream leaves; passes that on
   /// the first time.
   bool readLeaving(const HttpResponse &Response);
@@ -252,6 +261,8 @@
   asio::io_context &Context;
   Metrics &Counters;
   RateLimiter SuccessLogLimit;
+  RateLimiter ShortageLogLimit;
+  RateLimiter BadLoadLogLimit;
   HeaderNames Headers;
   Tcp::endpoint Address;
   std::optional<proto::UpstreamEntry> Upstream;
@@ -279,13 +290,17 @@
   AdmissionQueue Queue{0};
   ColdStartLimiter ColdStart;
   std::uint64_t ColdRejections = 0;
+  /// Whether there was a shortage when a call last came or ended.
+  bool HasShortage = false;
   /// Whether the upstream itself has told its limit, or that it has none, since
   /// this node has known it.
   bool HasReadLimit = false;
   UpstreamConnectionPool Pool;
   UpstreamWatch Watch;
   std::map<std::uint64_t, std::shared_ptr<Call>> Calls;
-  /// Processing time at the upstream, by route.
+  /// As reported by the upstream.
+  HostSpeed Speed;
+  /// Processing time at the upstream at usual speed, by route.
   std::map<std::string, ProcessingTimeEstimate> ProcessingTimes;
   /// Moving average of the fraction of calls that failed, 0 to 1.
   double FailureRate = 0;
