accounts, mesh, daemon: ask before a 401; withdraw keys from waiting calls

Cause: a 401 is final for callers, so a node whose configuration lags must not refuse a key that a newer one holds; and calls that wait in a gate's queue went on to run after their key had been withdrawn.

Change: a call with an unknown key waits up to 300 ms, or an eighth of its caller's time, while the node asks those that follow the operator's records, one after the other, for a newer configuration or a confirmation of this one (ConfigurationFreshness; one inquiry in 200 ms for all calls). 401 only if that is confirmed, else 503 with Retry-After. When a configuration comes into force, calls whose key it doesn't hold are withdrawn if they haven't been started.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -64,6 +64,14 @@
 /// was running when this node started.
 constexpr Millis EarlierCallsTime{3000};
 
+/// A call whose key is not known is held at most for this long while other
+/// nodes are asked for a newer configuration: time to ask several of them.
+constexpr Millis MaxKeyWait{300};
+
+/// Interval at which such a call checks whether there is an answer: about a
+/// round trip within a data centre.
+constexpr Millis KeyCheckInterval{4};
+
 /// Timeout that is assumed for a caller that states none.
 constexpr Millis DefaultCallerTimeout{1000};
 
@@ -124,6 +132,18 @@
 
 void CallRouter::setRoutes(std::shared_ptr<const RouteTable> Table) {
   this->Routes = std::move(Table);
+  for (const std::shared_ptr<RoutedCall> &Call : this->KeyedCalls) {
+    const proto::ClientAccount *Account =
+        this->Routes->accounts().find(Call->Key);
+    const bool IsValid =
+        !this->Routes->accounts().requiresKeys() ||
+        Call->Route->public_access() ||
+        (Account != nullptr && Account->name() == Call->Account->name());
+    if (IsValid || std::exchange(Call->IsKeyWithdrawn, true))
+      continue;
+    if (Call->WithdrawOffer)
+      Call->WithdrawOffer();
+  }
 }
 
 void CallRouter::updateNodes(const NodeDirectory &Nodes) {
@@ -172,19 +192,44 @@
 
 asio::awaitable<void>
 CallRouter::awaitStartup(std::shared_ptr<CallerRequest> Request) {
+  const MonoTime HoldEnd = std::min(this->StartupEnd, this->holdEnd(*Request));
+  while (!this->canRoute(Request->Message) && !Request->CallerDisconnected &&
+         monoNow() < HoldEnd) {
+    Request->WakeTimer.expires_after(internal::StartupCheckInterval);
+    co_await Request->WakeTimer.async_wait(NoThrow);
+  }
+}
+
+MonoTime CallRouter::holdEnd(const CallerRequest &Request) const {
   Millis CallerTimeout = internal::DefaultCallerTimeout;
   std::int64_t RemainingMs = 0;
   if (absl::SimpleAtoi(
           std::string(
-              Request->Message[this->Dependencies.Headers.DeadlineRemaining]),
+              Request.Message[this->Dependencies.Headers.DeadlineRemaining]),
           &RemainingMs))
     CallerTimeout = Millis(std::max<std::int64_t>(RemainingMs, 0));
-  const MonoTime HoldEnd =
-      std::min(this->StartupEnd,
-               Request->Arrival + CallerTimeout / internal::HoldTimeDivisor);
-  while (!this->canRoute(Request->Message) && !Request->CallerDisconnected &&
-         monoNow() < HoldEnd) {
-    Request->WakeTimer.expires_after(internal::StartupCheckInterval);
+  return Request.Arrival + CallerTimeout / internal::HoldTimeDivisor;
+}
+
+bool CallRouter::hasUnknownKey(const HttpRequest &Message) const {
+  if (!this->Routes || !this->Routes->accounts().requiresKeys())
+    return false;
+  const CallerKey Key = internal::callerKeyOf(Message);
+  if (Key.Presented != CallerKey::Kind::Readable ||
+      this->Routes->accounts().find(Key.Text) != nullptr)
+    return false;
+  const proto::MeshRoute *Route = this->findRoute(Message);
+  return Route != nullptr && !Route->public_access();
+}
+
+asio::awaitable<void>
+CallRouter::awaitKnownKey(std::shared_ptr<CallerRequest> Request) {
+  const MonoTime HoldEnd = std::min(this->holdEnd(*Request),
+                                    Request->Arrival + internal::MaxKeyWait);
+  while (this->hasUnknownKey(Request->Message) &&
+         !this->Dependencies.ConfirmNewest(Request->Arrival) &&
+         !Request->CallerDisconnected && monoNow() < HoldEnd) {
+    Request->WakeTimer.expires_after(internal::KeyCheckInterval);
     co_await Request->WakeTimer.async_wait(NoThrow);
   }
 }
@@ -193,11 +238,16 @@
 CallRouter::serve(std::shared_ptr<CallerRequest> Request) {
   if (Request->Arrival < this->StartupEnd)
     co_await this->awaitStartup(Request);
+  if (this->hasUnknownKey(Request->Message))
+    co_await this->awaitKnownKey(Request);
   auto Call = std::make_shared<RoutedCall>();
   Call->Request = std::move(Request);
   std::optional<HttpResponse> Response = this->prepareCall(*Call);
+  if (!Response && Call->Account != nullptr)
+    this->KeyedCalls.insert(Call);
   if (!Response)
     Response = co_await this->forward(Call);
+  this->KeyedCalls.erase(Call);
   if (Call->Request->CallerDisconnected)
     Call->End = RequestOutcome::CallerDisconnected;
   this->Dependencies.Counters.recordRequest(
@@ -300,9 +350,11 @@
       : monoNow() < this->StartupEnd + internal::EarlierCallsTime
           ? UpstreamActivity::Unknown
           : UpstreamActivity::Idle;
+  const CallerKey Key = internal::callerKeyOf(Message);
   const CallerAccess Access =
-      decideCallerAccess(Accounts, internal::callerKeyOf(Message),
-                         Call.Route->public_access(), Activity);
+      decideCallerAccess(Accounts, Key, Call.Route->public_access(), Activity);
+  if (Access.Account != nullptr)
+    Call.Key = std::string(Key.Text);
   Message.erase(http::field::authorization);
   Message.erase(this->Dependencies.Headers.Account);
   Call.Account = Access.Account;
@@ -314,6 +366,12 @@
         Call, StatusUnavailable,
         "calls of the upstream can't be recognized right after the start",
         DefaultRetryAfter);
+  if (Access.Decision == CallerAccess::Verdict::UnknownKey &&
+      !this->Dependencies.ConfirmNewest(Call.Request->Arrival))
+    return this->Responses.errorResponse(
+        Call, StatusUnavailable,
+        "the caller's key is not known, and a newer configuration may hold it",
+        DefaultRetryAfter);
   return this->Responses.errorResponse(Call, StatusUnauthorized,
                                        Access.Decision ==
                                                CallerAccess::Verdict::UnknownKey
@@ -458,7 +516,8 @@
                             monoNow() + internal::AdmissionCheckTimeout);
     if (Call->Request->CallerDisconnected)
       co_return false;
-    if (!Call->Reply || Call->Reply->outcome() != proto::WOULD_TAKE) {
+    if (!Call->Reply || Call->Reply->outcome() != proto::WOULD_TAKE ||
+        Call->IsKeyWithdrawn) {
       // Whether or not a reply came, the call itself has not been sent.
       proto::CallReply Rejection =
           std::move(Call->Reply).value_or(proto::CallReply());
@@ -497,12 +556,20 @@
   const std::uint64_t Ticket =
       Link ? Link->submit(std::move(Request), Handler)
            : this->Dependencies.LocalGate.submit(std::move(Request), Handler);
+  if (!Call->Key.empty())
+    Call->WithdrawOffer = [this, Link, Ticket] {
+      if (Link)
+        Link->withdraw(Ticket);
+      else
+        this->Dependencies.LocalGate.withdraw(Ticket);
+    };
   while (!Call->Reply && !Call->Request->CallerDisconnected) {
     Call->Request->WakeTimer.expires_at(Expiry);
     const auto [Error] = co_await Call->Request->WakeTimer.async_wait(NoThrow);
     if (!Error)
       break;
   }
+  Call->WithdrawOffer = nullptr;
   Target.View.recordEnded();
   if (Call->Reply)
     co_return;
@@ -630,7 +697,7 @@
 
 asio::awaitable<HttpResponse>
 CallRouter::forward(std::shared_ptr<RoutedCall> Call) {
-  while (true) {
+  while (!Call->IsKeyWithdrawn) {
     Micros MaxWait{0};
     const std::shared_ptr<RouteTarget> Target =
         this->nextTarget(*Call, &MaxWait);
@@ -639,6 +706,8 @@
     if (!co_await this->offer(Call, *Target, MaxWait))
       break;
     const proto::CallReply Reply = std::move(*Call->Reply);
+    if (Call->IsKeyWithdrawn && !Reply.arrived())
+      break;
     this->recordReply(*Call, *Target, Reply);
     if (Reply.outcome() == proto::ANSWERED && Reply.status() < 500) {
       this->Responses.logAnswered(*Call, Reply, *Target);
@@ -647,6 +716,9 @@
     if (!this->mayRetry(*Call, Reply))
       break;
   }
+  if (Call->IsKeyWithdrawn && !Call->MayHaveRun && !Call->UpstreamFailure)
+    co_return this->Responses.errorResponse(
+        *Call, StatusUnauthorized, std::string(KeyWithdrawnReason), {});
   co_return this->Responses.failureResponse(*Call);
 }
 
--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -50,6 +51,10 @@
   RolloutTable &Rollouts;
   Metrics &Counters;
   CrashLedger &Crashes;
+  /// Returns whether the configuration in force is known to have been the
+  /// newest one at about the given time; see
+  /// `ConfigurationSync::confirmNewest()`.
+  std::function<bool(MonoTime)> ConfirmNewest;
 };
 
 /// Finds the route of each call, selects upstreams, offers the call to the
@@ -121,6 +126,14 @@
   /// Waits until the request can be routed, at most until the end of the
   /// startup phase or for a part of the caller's timeout.
   asio::awaitable<void> awaitStartup(std::shared_ptr<CallerRequest> Request);
+  /// Waits while other nodes are asked whether a newer configuration holds the
+  /// caller's key, if the active one does not.
+  asio::awaitable<void> awaitKnownKey(std::shared_ptr<CallerRequest> Request);
+  /// Returns whether the request is refused by the active configuration for a
+  /// key that a newer one might hold.
+  bool hasUnknownKey(const HttpRequest &Message) const;
+  /// Returns when a call that can't be handled yet is held no longer.
+  MonoTime holdEnd(const CallerRequest &Request) const;
   /// Returns whether the request can be handled without waiting: every service
   /// of its route has a reachable upstream, or there is no route for it.
   bool canRoute(const HttpRequest &Message) const;
@@ -188,6 +201,8 @@
   /// See `rejectCallsPast()`.
   MonoTime ShutdownEnd = MonoTime::max();
   std::map<std::string, TrafficSplit> TrafficSplits;
+  /// The calls in progress whose callers have presented a key.
+  std::set<std::shared_ptr<RoutedCall>> KeyedCalls;
   std::map<std::string, std::unique_ptr<ServiceState>> ServiceStates;
   /// Processing time at the upstreams, by route.
   std::map<std::string, ProcessingTimeEstimate> ProcessingTimes;
--- a/persimmonquay/daemon/configuration_sync.cc
+++ b/persimmonquay/daemon/configuration_sync.cc
@@ -33,7 +33,7 @@
 ConfigurationSync::ConfigurationSync(asio::io_context &IoContext,
                                      Callbacks NodeCallbacks)
     : Callback(std::move(NodeCallbacks)), KeyHashSeed(internal::randomSeed()),
-      RequestTimer(IoContext) {}
+      NextFollower(this->KeyHashSeed), RequestTimer(IoContext) {}
 
 std::uint64_t ConfigurationSync::version() const {
   return this->Current ? this->Current->version() : 0;
@@ -65,6 +65,11 @@
   }
   if (!this->Current)
     return;
+  if (Frame.has_confirmation()) {
+    if (Frame.confirmation().version() == this->version())
+      this->Freshness.recordConfirmation(Frame.confirmation().inquiry());
+    return;
+  }
   absl::StatusOr<proto::MeshConfiguration> Next =
       applyDelta(this->Current->configuration(), Frame.delta());
   if (Next.ok())
@@ -95,6 +100,46 @@
   return Frame;
 }
 
+std::vector<proto::LinkFrame>
+ConfigurationSync::repliesTo(const proto::ConfigurationQuery &Query) {
+  std::vector<proto::LinkFrame> Result;
+  if (std::optional<proto::LinkFrame> Update =
+          this->updateSince(Query.have_version()))
+    Result.push_back(*std::move(Update));
+  if (Query.inquiry() != 0 && this->ServesPeers && this->Current &&
+      !this->Sources.behindSince()) {
+    proto::ConfigurationConfirmation &Confirmation =
+        *Result.emplace_back().mutable_confirmation();
+    Confirmation.set_inquiry(Query.inquiry());
+    Confirmation.set_version(this->version());
+  }
+  return Result;
+}
+
+bool ConfigurationSync::confirmNewest(MonoTime Since) {
+  if (!this->Current || this->Sources.behindSince())
+    return false;
+  if (this->Freshness.isConfirmed(Since))
+    return true;
+  const std::optional<std::uint64_t> Inquiry =
+      this->Freshness.nextInquiry(Since, monoNow());
+  if (!Inquiry)
+    return false;
+  const std::vector<std::string> Followers = this->Callback.FindFollowers();
+  if (Followers.empty()) {
+    if (this->ServesPeers)
+      this->Freshness.recordConfirmation(*Inquiry);
+    return this->ServesPeers;
+  }
+  const std::string &Follower =
+      Followers[this->NextFollower++ % Followers.size()];
+  logLine(LogLevel::Info, "asking for a newer configuration for unknown keys",
+          {{"member", Follower}, {"inquiry", std::to_string(*Inquiry)}});
+  this->Callback.FindLink(Follower)->requestConfiguration(this->version(),
+                                                          *Inquiry);
+  return false;
+}
+
 void ConfigurationSync::handlePeerVersion(const std::string &Node, bool IsLocal,
                                           std::uint64_t Version) {
   if (this->Stopped || Version <= this->version())
--- a/persimmonquay/daemon/configuration_sync.h
+++ b/persimmonquay/daemon/configuration_sync.h
@@ -4,6 +4,7 @@
 
 #include "persimmonquay/base/time.h"
 #include "persimmonquay/daemon/asio.h"
+#include "persimmonquay/mesh/configuration_freshness.h"
 #include "persimmonquay/mesh/configuration_sources.h"
 #include "proto/link.pb.h"
 #include <cstdint>
@@ -13,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace persimmonquay {
 
@@ -33,6 +35,9 @@
         OnApplied;
     /// Returns the link to a node, or null.
     std::function<std::shared_ptr<PeerLink>(const std::string &)> FindLink;
+    /// Returns the other nodes to ask for the newest configuration: they can be
+    /// reached and follow the operator's records.
+    std::function<std::vector<std::string>()> FindFollowers;
   };
 
   ConfigurationSync(asio::io_context &IoContext, Callbacks NodeCallbacks);
@@ -42,7 +47,7 @@
   /// Activates `Next` unless the active configuration is as new or newer.
   void apply(proto::MeshConfiguration Next);
 
-  /// Applies a configuration or delta that another node has sent.
+  /// Applies a configuration, delta or confirmation that another node has sent.
   void handleFrame(proto::LinkFrame Frame);
 
   /// Records that `Node` has `Version`, and requests it if it is newer than the
@@ -50,6 +55,13 @@
   void handlePeerVersion(const std::string &Node, bool IsLocal,
                          std::uint64_t Version);
 
+  /// Returns whether the active configuration is known to have been the newest
+  /// one when a call arrived at `Since`, or a little earlier. If not, asks the
+  /// nodes that follow the operator's records, one after the other; a caller
+  /// that waits for the answer calls this again. Without such nodes, the answer
+  /// stays unknown unless this node follows the records itself.
+  bool confirmNewest(MonoTime Since);
+
   /// Sets whether earlier configurations are kept to compute deltas for other
   /// nodes: a node that follows the operator's records passes changes on.
   void setServesPeers(bool Enabled) { this->ServesPeers = Enabled; }
@@ -64,6 +76,11 @@
   /// Returns nothing if the active configuration is not newer.
   std::optional<proto::LinkFrame> updateSince(std::uint64_t PeerVersion);
 
+  /// Returns the frames that reply to another node's query: the update if there
+  /// is one, and then the confirmation if it is wanted and can be given.
+  std::vector<proto::LinkFrame>
+  repliesTo(const proto::ConfigurationQuery &Query);
+
   /// Returns the active configuration, or null.
   const std::shared_ptr<const RouteTable> &current() const {
     return this->Current;
@@ -82,6 +99,9 @@
   std::uint64_t KeyHashSeed;
   std::shared_ptr<const RouteTable> Current;
   ConfigurationSources Sources;
+  ConfigurationFreshness Freshness;
+  /// Position of the follower that is asked next; any number.
+  std::size_t NextFollower;
   asio::steady_timer RequestTimer;
   /// Whether a configuration has been requested from another data centre since
   /// the active one was applied.
--- a/persimmonquay/daemon/link_server.cc
+++ b/persimmonquay/daemon/link_server.cc
@@ -46,6 +46,14 @@
     this->Tickets->erase(Found);
   }
 
+  /// Ends the call to which the sender gave this id if it has not been started.
+  void withdraw(std::uint64_t Id) {
+    this->submitAll();
+    if (const auto Found = this->Tickets->find(Id);
+        Found != this->Tickets->end())
+      this->Gate.withdraw(Found->second);
+  }
+
   void cancelAll() {
     this->Unsubmitted.clear();
     for (const auto &[Id, Ticket] : *this->Tickets)
@@ -93,7 +101,7 @@
                        FrameLimits LinkLimits,
                        ConfigurationSource GetConfiguration)
     : Context(IoContext), Gate(LocalGate), Limits(LinkLimits),
-      GetNewerConfiguration(std::move(GetConfiguration)) {}
+      RepliesToQuery(std::move(GetConfiguration)) {}
 
 void LinkServer::start(Tcp::acceptor ListeningSocket) {
   this->Acceptor = std::move(ListeningSocket);
@@ -150,6 +158,8 @@
       break;
     if (Frame->has_call() && !Frame->call().only_ask())
       Calls.add(std::move(*Frame->mutable_call()));
+    else if (Frame->has_cancel() && Frame->cancel().only_if_waiting())
+      Calls.withdraw(Frame->cancel().id());
     else if (Frame->has_cancel())
       Calls.cancel(Frame->cancel().id());
     else
@@ -170,9 +180,8 @@
     Frame.mutable_probe()->set_answer(true);
     Channel.send(Frame);
   } else if (Frame.has_query()) {
-    if (const std::optional<proto::LinkFrame> Update =
-            this->GetNewerConfiguration(Frame.query().have_version()))
-      Channel.send(*Update);
+    for (const proto::LinkFrame &Reply : this->RepliesToQuery(Frame.query()))
+      Channel.send(Reply);
   }
 }
 
--- a/persimmonquay/daemon/link_server.h
+++ b/persimmonquay/daemon/link_server.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace persimmonquay {
 
@@ -26,10 +27,10 @@
 /// Confined to one thread.
 class LinkServer : public std::enable_shared_from_this<LinkServer> {
 public:
-  /// Returns a frame that updates a node from the given configuration version
-  /// to the active one, or none if the active one is not newer.
-  using ConfigurationSource =
-      std::function<std::optional<proto::LinkFrame>(std::uint64_t)>;
+  /// Returns the frames that reply to a query; see
+  /// `ConfigurationSync::repliesTo()`.
+  using ConfigurationSource = std::function<std::vector<proto::LinkFrame>(
+      const proto::ConfigurationQuery &)>;
 
   LinkServer(asio::io_context &IoContext, UpstreamGate &LocalGate,
              FrameLimits LinkLimits, ConfigurationSource GetConfiguration);
@@ -46,7 +47,7 @@
   asio::io_context &Context;
   UpstreamGate &Gate;
   FrameLimits Limits;
-  ConfigurationSource GetNewerConfiguration;
+  ConfigurationSource RepliesToQuery;
   std::optional<Tcp::acceptor> Acceptor;
   std::set<std::shared_ptr<FrameChannel>> Channels;
   bool IsStopped = false;
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -182,7 +182,8 @@
                      },
                      [this](const std::string &Node) {
                        return this->Router.linkTo(Node);
-                     }}),
+                     },
+                     [this] { return this->reachableFollowers(); }}),
       Router(
           CallRouterDependencies{
               Setup.Context, Setup.Names, Setup.Settings.service(),
@@ -192,7 +193,10 @@
                           Millis(static_cast<std::int64_t>(
                               Setup.Settings.retry_budget_window_s() * 1000))},
               internal::frameLimits(Setup.Settings), this->Gate, this->Rollouts,
-              this->NodeMetrics, this->Crashes},
+              this->NodeMetrics, this->Crashes,
+              [this](MonoTime Since) {
+                return this->ConfigSync.confirmNewest(Since);
+              }},
           [this](proto::LinkFrame Frame) {
             this->ConfigSync.handleFrame(std::move(Frame));
           }),
@@ -265,8 +269,8 @@
   });
   this->Links = std::make_shared<LinkServer>(
       this->Context, this->Gate, internal::frameLimits(this->Settings),
-      [this](std::uint64_t PeerVersion) {
-        return this->ConfigSync.updateSince(PeerVersion);
+      [this](const proto::ConfigurationQuery &Query) {
+        return this->ConfigSync.repliesTo(Query);
       });
   this->Callers->start(*std::move(CallerListener));
   this->Links->start(*std::move(LinkListener));
@@ -330,6 +334,21 @@
         Node, Entry->data_centre() == this->Settings.data_centre(), Version);
 }
 
+std::vector<std::string> MeshNode::reachableFollowers() const {
+  std::vector<std::string> Result;
+  std::vector<std::string> Remote;
+  for (const proto::NodeEntry *Entry : this->Directory.activePeers()) {
+    if (!this->NodeGossip.followsStore(Entry->node()))
+      continue;
+    const std::shared_ptr<PeerLink> Link = this->Router.linkTo(Entry->node());
+    if (!Link || !Link->isUp())
+      continue;
+    const bool IsLocal = Entry->data_centre() == this->Settings.data_centre();
+    (IsLocal ? Result : Remote).push_back(Entry->node());
+  }
+  return Result.empty() ? Remote : Result;
+}
+
 bool MeshNode::shouldFollowStore() const {
   if (this->Stopping)
     return false;
--- a/persimmonquay/daemon/mesh_node.h
+++ b/persimmonquay/daemon/mesh_node.h
@@ -164,6 +164,9 @@
   void handleAppliedConfiguration(std::shared_ptr<const RouteTable> Routes,
                                   bool FetchedRemotely);
   void handlePeerVersion(const std::string &Node, std::uint64_t Version);
+  /// Returns the other nodes that follow the operator's records and can be
+  /// reached: those of this data centre, or if there are none, all others.
+  std::vector<std::string> reachableFollowers() const;
   CallerServerLimits callerLimits() const;
   asio::awaitable<void> measureLoopLag();
   asio::awaitable<void> watchUpstream();
--- a/persimmonquay/daemon/peer_link.cc
+++ b/persimmonquay/daemon/peer_link.cc
@@ -98,11 +98,22 @@
   this->send(Frame);
 }
 
-void PeerLink::requestConfiguration(std::uint64_t HaveVersion) {
+void PeerLink::withdraw(std::uint64_t Ticket) {
+  if (!this->PendingCalls.contains(Ticket) || !this->Channel)
+    return;
+  proto::LinkFrame Frame;
+  Frame.mutable_cancel()->set_id(Ticket);
+  Frame.mutable_cancel()->set_only_if_waiting(true);
+  this->send(Frame);
+}
+
+void PeerLink::requestConfiguration(std::uint64_t HaveVersion,
+                                    std::uint64_t Inquiry) {
   if (!this->Channel)
     return;
   proto::LinkFrame Frame;
   Frame.mutable_query()->set_have_version(HaveVersion);
+  Frame.mutable_query()->set_inquiry(Inquiry);
   this->send(Frame);
 }
 
@@ -186,7 +197,8 @@
     this->LastAnsweredProbe = Frame.probe().sequence();
     return;
   }
-  if (Frame.has_configuration() || Frame.has_delta()) {
+  if (Frame.has_configuration() || Frame.has_delta() ||
+      Frame.has_confirmation()) {
     this->OnConfiguration(std::move(Frame));
     return;
   }
--- a/persimmonquay/daemon/peer_link.h
+++ b/persimmonquay/daemon/peer_link.h
@@ -47,7 +47,7 @@
 class PeerLink : public std::enable_shared_from_this<PeerLink> {
 public:
   using ReplyHandler = std::function<void(proto::CallReply)>;
-  /// Receives a frame with a configuration or a delta.
+  /// Receives a frame with a configuration, a delta or a confirmation.
   using ConfigurationHandler = std::function<void(proto::LinkFrame)>;
   /// Receives the name of the peer when the link has been connected.
   using ConnectHandler = std::function<void(const std::string &Node)>;
@@ -74,8 +74,15 @@
   /// Cancels a call; its handler is not called.
   void cancel(std::uint64_t Ticket);
 
+  /// Ends a call that has not been started with a NOT_RUN reply, unless its
+  /// reply is already on the way. A running call is not changed.
+  void withdraw(std::uint64_t Ticket);
+
   /// Requests the configuration of the peer if it is newer than `HaveVersion`.
-  void requestConfiguration(std::uint64_t HaveVersion);
+  /// With an `Inquiry`, the peer is also asked to confirm which one is the
+  /// newest; see `ConfigurationFreshness`.
+  void requestConfiguration(std::uint64_t HaveVersion,
+                            std::uint64_t Inquiry = 0);
 
   // Queries.
 
--- a/persimmonquay/daemon/routed_call.h
+++ b/persimmonquay/daemon/routed_call.h
@@ -10,6 +10,7 @@
 #include "persimmonquay/traffic/call_placement.h"
 #include "proto/link.pb.h"
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -28,6 +29,13 @@
   const proto::ClientAccount *Account = nullptr;
   /// Whether the upstream on this host makes the call while it runs another.
   bool IsNested = false;
+  /// Key that the caller has presented for its account.
+  std::string Key;
+  /// Whether the configuration in force has withdrawn that key.
+  bool IsKeyWithdrawn = false;
+  /// Ends the current exchange if the call has not been started; null if there
+  /// is no exchange.
+  std::function<void()> WithdrawOffer;
   std::string Service;
   VersionFilter Versions;
   /// Time after which a response is useless to the caller.
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -360,6 +360,14 @@
     ActiveCall->Connection->Socket.close(IgnoredError);
 }
 
+void UpstreamGate::withdraw(std::uint64_t Ticket) {
+  const auto Found = this->Calls.find(Ticket);
+  if (Found == this->Calls.end() || Found->second->IsRunning)
+    return;
+  this->Queue.cancel(Ticket);
+  this->reject({Ticket, KeyWithdrawnReason, Micros{0}});
+}
+
 void UpstreamGate::setUpstream(std::optional<proto::UpstreamEntry> Entry) {
   const bool Replaced =
       Entry &&
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -30,6 +30,11 @@
 /// Reason of a rejection because the node is shutting down.
 inline constexpr std::string_view StoppingReason = "the node stops";
 
+/// Reason of a rejection because the key of the call's caller is not valid any
+/// more.
+inline constexpr std::string_view KeyWithdrawnReason =
+    "the caller's key has been withdrawn";
+
 /// Result of one call that reached the upstream.
 struct UpstreamCallResult {
   std::string Route;
@@ -75,6 +80,10 @@
   /// otherwise the call runs to its end.
   void cancel(std::uint64_t Ticket);
 
+  /// Rejects a call that has not been started, because its caller's key has
+  /// been withdrawn. A running call is not changed.
+  void withdraw(std::uint64_t Ticket);
+
   /// Sets the upstream that is registered now, or none.
   void setUpstream(std::optional<proto::UpstreamEntry> Entry);
 
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -520,6 +520,22 @@
   CHECK(Reply.resent() == 0);
 }
 
+TEST_CASE("a withdrawn call is rejected if it waits and ends if it runs") {
+  GateFixture Fixture(1);
+  Fixture.submit("running", Millis(5000), "POST", false);
+  Fixture.submit("waiting");
+  Fixture.submit("other");
+  Fixture.Gate.withdraw(1);
+  Fixture.Gate.withdraw(2);
+  CHECK(Fixture.Replies["waiting"].outcome() == proto::NOT_RUN);
+  CHECK(Fixture.Replies["waiting"].reason() == KeyWithdrawnReason);
+  Fixture.runUntil([&] { return Fixture.Replies.size() == 3; });
+  CHECK(Fixture.Replies["running"].outcome() == proto::ANSWERED);
+  CHECK(Fixture.Replies["other"].outcome() == proto::ANSWERED);
+  CHECK(Fixture.Received.size() == 2);
+  CHECK(Fixture.Gate.callsInFlight() == 0);
+}
+
 // The aborted connection attempt was taken for one that had failed, and all
 // calls were rejected for a while.
 TEST_CASE("a caller that leaves while a connection is opened does no harm") {
--- a/persimmonquay/mesh/mesh_test.cc
+++ b/persimmonquay/mesh/mesh_test.cc
@@ -1,4 +1,5 @@
 #include "persimmonquay/mesh/configuration_delta.h"
+#include "persimmonquay/mesh/configuration_freshness.h"
 #include "persimmonquay/mesh/configuration_sources.h"
 #include "persimmonquay/mesh/route_table.h"
 #include "persimmonquay/mesh/traffic_split.h"
@@ -201,5 +202,53 @@
   CHECK(requestedNode(Sources, 7, Start + Millis(400), IsUp) == "up");
 }
 
+// Callers with withdrawn keys come by the thousand.
+TEST_CASE("calls with unknown keys share one inquiry at a time") {
+  const MonoTime Start = monoNow();
+  ConfigurationFreshness Freshness;
+  CHECK_FALSE(Freshness.isConfirmed(Start));
+  int InquiryCount = 0;
+  for (int CallIndex = 0; CallIndex < 1000; ++CallIndex) {
+    const MonoTime Now = Start + Millis(CallIndex);
+    if (Freshness.isConfirmed(Now))
+      continue;
+    if (const auto Inquiry = Freshness.nextInquiry(Now, Now)) {
+      ++InquiryCount;
+      Freshness.recordConfirmation(*Inquiry);
+    }
+    CHECK(Freshness.isConfirmed(Now));
+  }
+  CHECK(InquiryCount == 5);
+}
+
+TEST_CASE("an inquiry is repeated until a node replies") {
+  const MonoTime Start = monoNow();
+  ConfigurationFreshness Freshness;
+  const auto First = Freshness.nextInquiry(Start, Start);
+  REQUIRE(First);
+  CHECK_FALSE(Freshness.nextInquiry(Start, Start + Millis(20)));
+  CHECK(Freshness.nextInquiry(Start, Start + Millis(60)) == First);
+  CHECK_FALSE(Freshness.isConfirmed(Start));
+  Freshness.recordConfirmation(*First);
+  CHECK(Freshness.isConfirmed(Start));
+  CHECK_FALSE(Freshness.nextInquiry(Start, Start + Millis(120)));
+}
+
+// The reply may have been sent before the newer configuration was written.
+TEST_CASE("a reply does not count for calls that came long after the inquiry") {
+  const MonoTime Start = monoNow();
+  const MonoTime Later = Start + Millis(300);
+  ConfigurationFreshness Freshness;
+  const auto First = Freshness.nextInquiry(Start, Start);
+  const auto Second = Freshness.nextInquiry(Later, Later);
+  REQUIRE(First);
+  REQUIRE(Second);
+  Freshness.recordConfirmation(*First);
+  CHECK_FALSE(Freshness.isConfirmed(Later));
+  Freshness.recordConfirmation(*Second);
+  CHECK(Freshness.isConfirmed(Later));
+  CHECK_FALSE(Freshness.isConfirmed(Later + Millis(200)));
+}
+
 } // namespace
 } // namespace persimmonquay
--- a/testing/platform/accounts_test.cc
+++ b/testing/platform/accounts_test.cc
@@ -1,8 +1,13 @@
 // Tests of the program as processes on loopback: the keys of client accounts.
 #include "testing/platform/small_mesh.h"
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
 #include <algorithm>
-#include <csignal>
+#include <atomic>
 #include <doctest/doctest.h>
+#include <future>
 
 namespace persimmonquay::testing {
 namespace {
@@ -10,6 +15,9 @@
 /// Generous for busy machines; a test that passes does not wait that long.
 constexpr Millis WaitTimeout{40000};
 
+/// Time after its publication within which a configuration must be in force.
+constexpr Millis ApplyTime{2500};
+
 constexpr char AccountHeader[] = "x-persimmonquay-tenant-name";
 
 /// Options of a call with a key and a forged account.
@@ -44,6 +52,34 @@
   TestNode &Near = this->Mesh.add("gallery");
 };
 
+/// A caller that sends all its calls on one connection.
+class OpenConnection {
+public:
+  explicit OpenConnection(const TestNode &Node)
+      : Session("127.0.0.1", Node.CallerPort) {
+    this->Session.setKeepAlive(true);
+    this->Session.setKeepAliveTimeout(Poco::Timespan(60, 0));
+  }
+
+  /// Returns the status of the response.
+  int call(const std::string &Key) {
+    Poco::Net::HTTPRequest Request("GET", "/views/7", "HTTP/1.1");
+    Request.setHost("boards.example");
+    Request.set("X-Persimmonquay-Request-Id", "open-connection");
+    Request.set("X-Persimmonquay-Deadline-Remaining", "2000");
+    Request.set("Authorization", "Bearer " + Key);
+    this->Session.sendRequest(Request);
+    Poco::Net::HTTPResponse Response;
+    std::string Body;
+    Poco::StreamCopier::copyToString(this->Session.receiveResponse(Response),
+                                     Body);
+    return Response.getStatus();
+  }
+
+private:
+  Poco::Net::HTTPClientSession Session;
+};
+
 } // namespace
 
 // Keys were passed on to upstreams, and unknown ones were not refused.
@@ -100,4 +136,90 @@
   CHECK_FALSE(Nested->Headers.contains(AccountHeader));
 }
 
+TEST_CASE("a withdrawn key is refused on open connections, a new one served") {
+  AccountMesh Setup;
+  for (TestNode *Node : {&Setup.Far, &Setup.Near}) {
+    Setup.Mesh.setAccounts(
+        {{"river-desk", {"key-of-desk"}}, {"hotel", {"key-of-hotel"}}});
+    const std::uint64_t Version = Node == &Setup.Far ? 10 : 20;
+    Setup.Mesh.publish(Version, "gallery");
+    REQUIRE(eventually(WaitTimeout, [&] {
+      return Setup.Mesh.call(*Node, withKey("key-of-hotel", "warm")).Status ==
+             200;
+    }));
+    OpenConnection Desk(*Node);
+    OpenConnection Hotel(*Node);
+    CHECK(Desk.call("key-of-desk") == 200);
+    CHECK(Hotel.call("key-of-hotel") == 200);
+    Setup.Mesh.setAccounts(
+        {{"river-desk", {"key-of-desk"}}, {"hotel", {"new-key-of-hotel"}}});
+    Setup.Mesh.publish(Version + 1, "gallery");
+    CHECK(eventually(ApplyTime,
+                     [&] { return Hotel.call("key-of-hotel") == 401; }));
+    CHECK(Hotel.call("new-key-of-hotel") == 200);
+    CHECK(Desk.call("key-of-desk") == 200);
+  }
+}
+
+TEST_CASE("a call that waits for an upstream is refused with its key") {
+  AccountMesh Setup;
+  CHECK(Setup.Mesh.heartbeat(Setup.Near, "ready", 1) == 200);
+  std::atomic<bool> MayEnd = false;
+  Setup.Near.Upstream->setHandler([&](const ReceivedRequest &Request) {
+    if (Request.Target == "/health")
+      return healthResponse(Setup.Near.Instance);
+    eventually(WaitTimeout,
+               [&] { return MayEnd || Request.Target != "/orders/1"; });
+    return responseTo(Request);
+  });
+  const TestNode *Node = &Setup.Far;
+  SUBCASE("at another node") {}
+  SUBCASE("at the caller's node") { Node = &Setup.Near; }
+  CallOptions Running = withKey("key-of-hotel", "running", "/orders/1");
+  Running.Method = "POST";
+  std::future<CallResponse> First = std::async(
+      std::launch::async, [&] { return Setup.Mesh.call(*Node, Running); });
+  REQUIRE(eventually(WaitTimeout, [&] {
+    return find(*Setup.Near.Upstream, "running").has_value();
+  }));
+  std::future<CallResponse> Second = std::async(std::launch::async, [&] {
+    return Setup.Mesh.call(*Node, withKey("key-of-hotel", "waiting"));
+  });
+  std::this_thread::sleep_for(Millis(100));
+  Setup.Mesh.setAccounts({{"river-desk", {"key-of-desk"}}, {"hotel", {}}});
+  Setup.Mesh.publish(6, "gallery");
+  CHECK(Second.get().Status == 401);
+  MayEnd = true;
+  CHECK(First.get().Status == 200);
+  CHECK_FALSE(find(*Setup.Near.Upstream, "waiting"));
+}
+
+// While no node can read the store, a newer configuration may hold the key.
+TEST_CASE("an unknown key is refused for good only if the mesh is up to date") {
+  AccountMesh Setup;
+  CHECK(
+      Setup.Mesh.call(Setup.Far, withKey("new-key-of-hotel", "early")).Status ==
+      401);
+  Setup.Mesh.store().setOutage(true);
+  CHECK(eventually(WaitTimeout, [&] {
+    const CallResponse Response =
+        Setup.Mesh.call(Setup.Far, withKey("new-key-of-hotel", "during"));
+    return Response.Status == 503 && Response.Headers.contains("retry-after");
+  }));
+  CHECK(Setup.Mesh.call(Setup.Far, withKey("key-of-hotel", "known")).Status ==
+        200);
+  Setup.Mesh.setAccounts(
+      {{"river-desk", {"key-of-desk"}}, {"hotel", {"new-key-of-hotel"}}});
+  Setup.Mesh.publish(6, "gallery");
+  CHECK(Setup.Mesh.call(Setup.Far, withKey("key-of-hotel", "known")).Status ==
+        200);
+  Setup.Mesh.store().setOutage(false);
+  CHECK(eventually(WaitTimeout, [&] {
+    return Setup.Mesh.call(Setup.Far, withKey("new-key-of-hotel", "after"))
+               .Status == 200;
+  }));
+  CHECK(Setup.Mesh.call(Setup.Far, withKey("key-of-hotel", "gone")).Status ==
+        401);
+}
+
 } // namespace persimmonquay::testing
