--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -132,6 +132,7 @@
 
 void CallRouter::setRoutes(std::shared_ptr<const RouteTable> Table) {
   this->Routes = std::move(Table);
+  std::size_t Withdrawn = 0;
   for (const std::shared_ptr<RoutedCall> &Call : this->KeyedCalls) {
     const proto::ClientAccount *Account =
         this->Routes->accounts().find(Call->Key);
@@ -141,9 +142,15 @@
         (Account != nullptr && Account->name() == Call->Account->name());
     if (IsValid || std::exchange(Call->IsKeyWithdrawn, true))
       continue;
+    ++Withdrawn;
     if (Call->WithdrawOffer)
       Call->WithdrawOffer();
   }
+  if (Withdrawn > 0)
+    logLine(LogLevel::Info, "keys of calls in progress withdrawn",
+            {{"version", std::to_string(this->Routes->version())},
+             {"calls", std::to_string(Withdrawn)},
+             {"calls_with_key", std::to_string(this->KeyedCalls.size())}});
 }
 
 void CallRouter::updateNodes(const NodeDirectory &Nodes) {
--- a/testing/platform/accounts_test.cc
+++ b/testing/platform/accounts_test.cc
@@ -1,4 +1,5 @@
 // Tests of the program as processes on loopback: the keys of client accounts.
+#include "testing/free_port.h"
 #include "testing/platform/small_mesh.h"
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -6,6 +7,7 @@
 #include <Poco/StreamCopier.h>
 #include <algorithm>
 #include <atomic>
+#include <csignal>
 #include <doctest/doctest.h>
 #include <future>
 
@@ -194,6 +196,49 @@
   CHECK_FALSE(find(*Setup.Near.Upstream, "waiting"));
 }
 
+TEST_CASE("a key is withdrawn at a node that is cut off from the store") {
+  AccountMesh Setup;
+  Setup.Far.Sidecar->signal(SIGKILL);
+  Setup.Far.Sidecar->wait(WaitTimeout);
+  Setup.Far.StorePort = freePort();
+  Setup.Mesh.startNode(Setup.Far);
+  REQUIRE(eventually(WaitTimeout, [&] {
+    return Setup.Mesh.call(Setup.Far, withKey("key-of-hotel", "warm")).Status ==
+           200;
+  }));
+  Setup.Mesh.setAccounts(
+      {{"river-desk", {"key-of-desk"}}, {"hotel", {"new-key-of-hotel"}}});
+  Setup.Mesh.publish(6, "gallery");
+  CHECK(eventually(ApplyTime, [&] {
+    return Setup.Mesh.call(Setup.Far, withKey("key-of-hotel", "withdrawn"))
+               .Status == 401;
+  }));
+  CHECK(Setup.Mesh.call(Setup.Far, withKey("new-key-of-hotel", "new")).Status ==
+        200);
+}
+
+TEST_CASE("a key that two accounts claim leaves the last configuration") {
+  AccountMesh Setup;
+  Setup.Mesh.setAccounts(
+      {{"river-desk", {"key-of-hotel"}}, {"hotel", {"key-of-hotel"}}});
+  Setup.Mesh.publish(6, "gallery");
+  CHECK(eventually(WaitTimeout, [&] {
+    return Setup.Near.Sidecar->output().find("have a key in common") !=
+           std::string::npos;
+  }));
+  CHECK(Setup.Mesh.call(Setup.Near, withKey("key-of-desk", "old")).Status ==
+        200);
+  CHECK(Setup.Near.Sidecar->output().find("key-of") == std::string::npos);
+}
+
+TEST_CASE("a node without a configuration refuses no key for good") {
+  SmallMesh Mesh;
+  const TestNode &Node = Mesh.add("gallery");
+  const CallResponse Response = Mesh.call(Node, withKey("key-of-hotel", "a"));
+  CHECK(Response.Status == 503);
+  CHECK(Response.Headers.contains("retry-after"));
+}
+
 // While no node can read the store, a newer configuration may hold the key.
 TEST_CASE("an unknown key is refused for good only if the mesh is up to date") {
   AccountMesh Setup;
--- a/testing/platform/small_mesh.h
+++ b/testing/platform/small_mesh.h
@@ -30,6 +30,8 @@
   std::uint16_t LinkPort = 0;
   std::uint16_t ReadinessPort = 0;
   std::uint16_t RegistrationPort = 0;
+  /// Port of the store; 0 for that of the mesh. From the next start on.
+  std::uint16_t StorePort = 0;
   std::uint64_t Sequence = 0;
   std::uint64_t StartedUnixMs = 0;
   std::unique_ptr<ScriptedUpstream> Upstream;
