--- a/persimmonquay/daemon/link_server.h
+++ b/persimmonquay/daemon/link_server.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace persimmonquay {
 
@@ -27,10 +28,10 @@
 /// Confined to one thread.
 class LinkServer : public std::enable_shared_from_this<LinkServer> {
 public:
-  /// Returns a frame that updates a node from the given configuration version
-  /// to the active one, or none if the active one is not newer.
-  using ConfigurationSource =
-      std::function<std::optional<proto::LinkFrame>(std::uint64_t)>;
+  /// Returns the frames that reply to a query; see
+  /// `ConfigurationSync::repliesTo()`.
+  using ConfigurationSource = std::function<std::vector<proto::LinkFrame>(
+      const proto::ConfigurationQuery &)>;
 
   /// Returns the grants for an ask.
   using AskHandler = std::function<proto::QuotaGrant(const proto::QuotaAsk &)>;
@@ -52,7 +53,7 @@
   asio::io_context &Context;
   UpstreamGate &Gate;
   FrameLimits Limits;
-  ConfigurationSource GetNewerConfiguration;
+  ConfigurationSource RepliesToQuery;
   AskHandler OnAsk;
   std::optional<Tcp::acceptor> Acceptor;
   std::set<std::shared_ptr<FrameChannel>> Channels;
--- a/persimmonquay/daemon/mesh_node.h
+++ b/persimmonquay/daemon/mesh_node.h
@@ -190,6 +190,9 @@
   /// Starts to keep quotas once the other nodes are surely known.
   void startKeepingQuotas();
   void handlePeerVersion(const std::string &Node, std::uint64_t Version);
+  /// Returns the other nodes that follow the operator's records and can be
+  /// reached: those of this data centre, or if there are none, all others.
+  std::vector<std::string> reachableFollowers() const;
   CallerServerLimits callerLimits() const;
   asio::awaitable<void> measureLoopLag();
   asio::awaitable<void> watchUpstream();
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -35,6 +35,10 @@
 /// Reason of a rejection because the operator has evacuated the data centre.
 inline constexpr std::string_view EvacuatedReason =
     "the data centre is evacuated";
+/// Reason of a rejection because the key of the call's caller is not valid any
+/// more.
+inline constexpr std::string_view KeyWithdrawnReason =
+    "the caller's key has been withdrawn";
 
 /// Result of one call that reached the upstream.
 struct UpstreamCallResult {
@@ -81,6 +85,10 @@
   /// otherwise the call runs to its end.
   void cancel(std::uint64_t Ticket);
 
+  /// Rejects a call that has not been started, because its caller's key has
+  /// been withdrawn. A running call is not changed.
+  void withdraw(std::uint64_t Ticket);
+
   /// Sets the upstream that is registered now, or none.
   void setUpstream(std::optional<proto::UpstreamEntry> Entry);
 
