--- a/testing/platform/small_mesh.cc
+++ b/testing/platform/small_mesh.cc
@@ -145,7 +145,7 @@
                      {"version", Node.Version},
                      {"capacity_slots", Slots},
                      {"state", State},
-                     {"cold_remaining_s", 0},
+                     {"cold_remaining_s", Node.ColdRemaining},
                      {"sequence", ++Node.Sequence},
                      {"born", Node.StartedUnixMs}};
   Poco::Net::HTTPRequest Request(
@@ -169,6 +169,8 @@
   for (const char *Name : {"gallery", "orders"})
     Services.push_back({{"name", Name},
                         {"health_check_path", "/health"},
+                        {"cold_start_s", this->ColdSeconds},
+                        {"cold_per_s", this->ColdCallsPerSecond},
                         {"max_connections", 100}});
   Json Rules = Json::array();
   std::vector<std::pair<std::string, std::string>> Routes = {
--- a/testing/platform/small_mesh.h
+++ b/testing/platform/small_mesh.h
@@ -31,6 +31,8 @@
   std::uint16_t RegistrationPort = 0;
   std::uint64_t Sequence = 0;
   std::uint64_t StartedUnixMs = 0;
+  /// Seconds for which the upstream is cold, as its heartbeats say.
+  double ColdRemaining = 0;
   std::unique_ptr<ScriptedUpstream> Upstream;
   /// The node's process.
   std::unique_ptr<Process> Sidecar;
@@ -69,6 +71,13 @@
   /// Sets the memory of the hosts of nodes that are started from now on.
   void setMemory(double Megabytes) { this->MemoryMegabytes = Megabytes; }
 
+  /// Sets how long upstreams are cold after a start and how many calls a second
+  /// a cold one takes, in configurations that are published from now on.
+  void setColdStart(double Seconds, double CallsPerSecond) {
+    this->ColdSeconds = Seconds;
+    this->ColdCallsPerSecond = CallsPerSecond;
+  }
+
   /// Starts the node's process; kills the one that runs, if any.
   void startNode(TestNode &Node);
 
@@ -105,6 +114,8 @@
   StoreStandIn Store;
   std::string Directory;
   double MemoryMegabytes = 256;
+  double ColdSeconds = 0;
+  double ColdCallsPerSecond = 0;
   std::vector<std::unique_ptr<TestNode>> Nodes;
 };
 
