Model: all upstreams of a service cold at once

With 1, 2 and 4 times the load that they bear while cold, no modelled upstream ends, at least 0.8 of what they bear is answered in the seconds two and three, and full service is back from second five on. Without the bound each of them ends more than twice in twelve seconds.

--- a/testing/model/mesh_model.cc
+++ b/testing/model/mesh_model.cc
@@ -2,10 +2,12 @@
 
 #include "persimmonquay/traffic/admission_queue.h"
 #include "persimmonquay/traffic/call_placement.h"
+#include "persimmonquay/traffic/cold_start_limiter.h"
 #include "persimmonquay/traffic/processing_time_estimate.h"
 #include "persimmonquay/traffic/upstream_ranking.h"
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <memory>
 #include <queue>
 #include <random>
@@ -23,6 +25,12 @@
 constexpr double MaxRetryAfterFactor = 1.75;
 constexpr int MaxRetryAfterDivisor = 3;
 
+/// A cold upstream ends if it gets more calls in one second than this factor of
+/// its rate and this number, and is back after a while.
+constexpr double MaxColdFactor = 1.5;
+constexpr double MaxColdExtra = 8;
+constexpr Millis CrashDuration{2000};
+
 /// The decision whether to spend a retry is taken elsewhere.
 constexpr int MaxArrivals = 2;
 
@@ -94,11 +102,21 @@
 /// The gate next to an upstream.
 struct Gate {
   AdmissionQueue Queue{0};
+  ColdStartLimiter ColdStart;
   std::map<std::string, ProcessingTimeEstimate> ProcessingTimes;
   std::map<std::uint64_t, std::pair<CallPointer, std::function<void(bool)>>>
       Calls;
 };
 
+/// Whether an upstream is cold or down.
+struct UpstreamState {
+  MonoTime ColdUntil;
+  MonoTime DownUntil;
+  MonoTime CrashedAt;
+  /// Calls that have arrived in the last second, while it was cold.
+  std::deque<MonoTime> ColdArrivals;
+};
+
 class Simulation {
 public:
   Simulation(const ModelSite &ModelledSite, ModelPlacement PlacementRule,
@@ -115,6 +133,14 @@
             static_cast<std::uint32_t>(Upstream.Slots));
     }
     this->Gates.resize(Site.Upstreams.size());
+    this->States.resize(Site.Upstreams.size());
+    for (std::size_t I = 0; I < Site.Upstreams.size(); ++I) {
+      this->States[I].ColdUntil = this->Start + Site.ColdDuration;
+      this->Gates[I].ColdStart.setLimits(
+          Site.ColdDuration, Site.LimitsColdUpstreams ? Site.ColdRate : 0,
+          this->Start);
+      this->Gates[I].ColdStart.assumeCold(this->Start);
+    }
     for (std::size_t I = 0; I < Site.Upstreams.size(); ++I) {
       this->Gates[I].Queue.resize(Site.Upstreams[I].Slots);
       this->NodeNames.push_back("node-" + std::to_string(I));
@@ -188,6 +214,11 @@
         });
         return;
       }
+      if (End == Outcome::Answered)
+        ++this->Result
+              .AnsweredInSecond[std::chrono::floor<std::chrono::seconds>(
+                                    this->Now - this->Start)
+                                    .count()];
       for (ModelCounts *Counts : {&this->Result.ByKind[Kind.Name],
                                   &this->Result.ByDataCentre[DataCentre]}) {
         if (End == Outcome::Answered && this->Now <= Ended.Objective)
@@ -220,9 +251,11 @@
     return Goal;
   }
 
-  bool isDown(const ModelUpstream &Upstream) const {
+  bool isDown(std::size_t Index) const {
+    const ModelUpstream &Upstream = this->Site.Upstreams[Index];
     const auto Elapsed = this->Now - this->Start;
-    return Elapsed >= Upstream.DownFrom && Elapsed < Upstream.DownUntil;
+    return (Elapsed >= Upstream.DownFrom && Elapsed < Upstream.DownUntil) ||
+           this->Now < this->States[Index].DownUntil;
   }
 
   std::optional<PlacementOffer>
@@ -268,12 +301,28 @@
     return PlacementOffer{Best, MaxWait};
   }
 
+  /// As in `CallRouter`.
+  void removeClosed(ModelCall &Call, std::vector<std::size_t> &Candidates) {
+    const std::vector<UpstreamView> &Views = this->Nodes[Call.DataCentre].Views;
+    const auto FirstClosed = std::stable_partition(
+        Candidates.begin(), Candidates.end(),
+        [&](std::size_t I) { return Views[I].opensAt() <= this->Now; });
+    if (FirstClosed == Candidates.begin() && !Candidates.empty()) {
+      const std::size_t Chosen = std::uniform_int_distribution<std::size_t>(
+          0, Candidates.size() - 1)(this->ChoiceRandom);
+      Call.RetryAfter = std::chrono::duration_cast<Micros>(
+          Views[Candidates[Chosen]].opensAt() - this->Now);
+    }
+    Candidates.erase(FirstClosed, Candidates.end());
+  }
+
   void offerNext(const CallPointer &Call) {
     std::vector<std::size_t> Candidates;
     for (std::size_t I = 0; I < this->Site.Upstreams.size(); ++I)
       if (this->Site.Upstreams[I].Service == Call->Kind->Service &&
-          !Call->Excluded.contains(I) && !this->isDown(this->Site.Upstreams[I]))
+          !Call->Excluded.contains(I) && !this->isDown(I))
         Candidates.push_back(I);
+    this->removeClosed(*Call, Candidates);
     const std::optional<PlacementOffer> Offer =
         this->Now < Call->Deadline ? this->choose(*Call, Candidates)
                                    : std::nullopt;
@@ -315,6 +364,11 @@
                            [this, Call, Target, Delay, IsLocal](bool Failed) {
                              this->reply(Call, Target, Delay, IsLocal, Failed);
                            }};
+    if (!At.ColdStart.mayStart(At.Queue.waiting(), this->Now)) {
+      this->reject(Target, {Queued.Id, ColdReason,
+                            At.ColdStart.scheduleReturn(this->Now)});
+      return;
+    }
     const Admission Decision = At.Queue.offer(Queued, MaxWait, this->Now);
     for (const RejectedCall &Displaced : Decision.Displaced)
       this->reject(Target, Displaced);
@@ -350,6 +404,8 @@
     const ModelUpstream &Upstream = this->Site.Upstreams[Target];
     const Micros Work = microsOf(seconds(Call->Work) * Upstream.Slowness);
     ++Call->Arrivals;
+    this->Gates[Target].ColdStart.recordSend(this->Now);
+    this->recordArrival(Target);
     const MonoTime StartedAt = this->Now;
     const ModelKind *Nested = this->nestedKind(*Call);
     this->Events.at(this->Now + Work, [this, Call, Target, Id, StartedAt,
@@ -371,6 +427,29 @@
     });
   }
 
+  /// Ends a cold upstream if it has got too many calls.
+  void recordArrival(std::size_t Target) {
+    UpstreamState &State = this->States[Target];
+    if (this->Site.ColdRate <= 0 || this->Now >= State.ColdUntil)
+      return;
+    std::deque<MonoTime> &Arrivals = State.ColdArrivals;
+    Arrivals.push_back(this->Now);
+    while (this->Now - Arrivals.front() >= std::chrono::seconds(1))
+      Arrivals.pop_front();
+    if (this->Now < State.DownUntil ||
+        static_cast<double>(Arrivals.size()) <=
+            MaxColdFactor * this->Site.ColdRate + MaxColdExtra)
+      return;
+    ++this->Result.Crashes;
+    Arrivals.clear();
+    State.CrashedAt = this->Now;
+    State.DownUntil = this->Now + CrashDuration;
+    State.ColdUntil = State.DownUntil + this->Site.ColdDuration;
+    this->Events.at(State.DownUntil, [this, Target] {
+      this->Gates[Target].ColdStart.assumeCold(this->Now);
+    });
+  }
+
   const ModelKind *nestedKind(const ModelCall &Call) {
     if (Call.Kind->NestedKind.empty() ||
         std::uniform_real_distribution<double>(0, 1)(this->NestedRandom) >=
@@ -392,6 +471,7 @@
         std::chrono::duration_cast<Micros>(this->Now - StartedAt);
     const bool Failed =
         NestedFailed || this->Now > Call->Deadline ||
+        StartedAt <= this->States[Target].CrashedAt ||
         std::uniform_real_distribution<double>(0, 1)(this->ChoiceRandom) <
             this->Site.Upstreams[Target].FailureRate;
     if (Failed)
@@ -428,12 +508,16 @@
     const std::size_t DataCentre = this->Site.Upstreams[Target].DataCentre;
     const bool IsLocal = DataCentre == Call->DataCentre;
     const Micros Wait = At.Queue.predictedWait(this->Now);
+    const bool IsCold = Rejection.Reason == ColdReason;
     this->Events.at(this->Now + (IsLocal ? LocalDelay : RemoteDelay),
-                    [this, Call, Target, DataCentre, IsLocal, Wait] {
+                    [this, Call, Target, DataCentre, IsLocal, Wait, IsCold,
+                     Delay = Rejection.RetryAfter] {
                       CallerNode &Node = this->Nodes[Call->DataCentre];
+                      if (IsCold)
+                        Node.Views[Target].recordClosed(this->Now + Delay);
                       this->recordLoad(Node, Target);
                       Node.Views[Target].recordEnded();
-                      if (!IsLocal) {
+                      if (!IsLocal && !IsCold) {
                         Node.BusyUntil[{Call->Kind->Service, DataCentre}] =
                             this->Now + RemoteBusyBackoff;
                         this->Result.RemoteBytes += 500;
@@ -489,6 +573,7 @@
   MonoTime Now = Start;
   std::vector<CallerNode> Nodes;
   std::vector<Gate> Gates;
+  std::vector<UpstreamState> States;
   std::vector<std::string> NodeNames;
   std::vector<std::string> DataCentreNames;
   std::uint64_t NextId = 1;
--- a/testing/model/mesh_model.h
+++ b/testing/model/mesh_model.h
@@ -60,6 +60,13 @@
   Millis Duration{20000};
   /// Rates are multiplied by this in a part of the run.
   double BurstFactor = 1;
+  /// Calls a second that a cold upstream bears; 0 if there is no limit. It ends
+  /// if it gets many more in one second, and is back after a while, cold.
+  double ColdRate = 0;
+  /// How long upstreams are cold, from the beginning of the run.
+  Millis ColdDuration{0};
+  /// Whether the gates hold the rate of cold upstreams.
+  bool LimitsColdUpstreams = true;
   Millis BurstFrom{0};
   Millis BurstUntil{0};
 };
@@ -92,6 +99,10 @@
   std::uint64_t RemoteBytes = 0;
   /// Work of upstreams whose response was of no use, in seconds.
   double WastedSeconds = 0;
+  /// Times that a cold upstream has ended.
+  int Crashes = 0;
+  /// Answers by the second of the run in which they arrived.
+  std::map<std::int64_t, int> AnsweredInSecond;
 
   ModelCounts total() const;
 };
--- a/testing/model/mesh_model_test.cc
+++ b/testing/model/mesh_model_test.cc
@@ -168,5 +168,55 @@
   CHECK(Expected.ByKind["order"].onTimeShare() > 0.6);
 }
 
+/// Upstreams that all have just started, with `Load` times as many calls as
+/// they bear while they are cold. Warm ones bear five times as many.
+ModelSite coldSite(double Load) {
+  constexpr std::size_t UpstreamCount = 24;
+  ModelSite Site;
+  Site.ColdRate = 14;
+  Site.ColdDuration = Millis(3000);
+  Site.Duration = Millis(12000);
+  for (std::size_t I = 0; I < UpstreamCount; ++I)
+    Site.Upstreams.push_back(
+        {.Service = "catalogue", .DataCentre = I % 3, .Slots = 18});
+  const double Rate = Load * Site.ColdRate * UpstreamCount / 3;
+  Site.Kinds = {{.Name = "browse",
+                 .Service = "catalogue",
+                 .Rates = {Rate, Rate, Rate},
+                 .ProcessingTime = Millis(250),
+                 .Objective = Millis(800),
+                 .Deadline = Millis(3000),
+                 .CallerRetries = 8}};
+  return Site;
+}
+
+TEST_CASE("upstreams that are all cold serve what they bear and climb back") {
+  for (const double Load : {1.0, 2.0, 4.0}) {
+    CAPTURE(Load);
+    for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+      const ModelSite Site = coldSite(Load);
+      const double Borne =
+          Site.ColdRate * static_cast<double>(Site.Upstreams.size());
+      ModelResult Result = simulate(Site, ModelPlacement::Expected, Seed);
+      CHECK(Result.Crashes == 0);
+      // Calls take a quarter of a second.
+      CHECK(Result.AnsweredInSecond[0] > 0.5 * Borne);
+      CHECK(Result.AnsweredInSecond[1] > 0.8 * Borne);
+      CHECK(Result.AnsweredInSecond[2] > 0.8 * Borne);
+      for (int Second = 5; Second < 12; ++Second)
+        CHECK(Result.AnsweredInSecond[Second] > 0.85 * Load * Borne);
+    }
+  }
+}
+
+// Shows that the model has the loop that the bound prevents.
+TEST_CASE("cold upstreams without a bound end again and again") {
+  ModelSite Site = coldSite(4);
+  Site.LimitsColdUpstreams = false;
+  ModelResult Result = simulate(Site, ModelPlacement::Expected, 1);
+  CHECK(Result.Crashes > 2 * static_cast<int>(Site.Upstreams.size()));
+  CHECK(Result.AnsweredInSecond[11] < 2 * 14 * 24);
+}
+
 } // namespace
 } // namespace persimmonquay::testing
