traffic: room for calls of other upstreams at a cold upstream

A call that an upstream makes while it runs another call fails its parent when it is refused. A cold upstream keeps two tokens for such calls while there are any.

A heartbeat of an incarnation that was found dead counts again once its cold time has passed: an upstream may refuse connections for a while and live on.

--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -670,7 +670,11 @@
     co_return;
   if (this->Registry.apply(Received, monoNow()))
     this->handleUpstreamChange();
-  if (this->Registry.isLatest(Received) && !this->Gate.hasUpstreamEnded())
+  // After an end of the upstream, a heartbeat of the incarnation that has ended
+  // may have been sent before.
+  const bool MayBeOutdated =
+      this->Gate.hasUpstreamEnded() && this->Gate.isColdAssumed();
+  if (this->Registry.isLatest(Received) && !MayBeOutdated)
     this->Gate.recordColdRemaining(Received.ColdRemaining, "heartbeat");
   if (!Received.Draining)
     co_return;
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -234,8 +234,9 @@
   *Reply.mutable_load() = this->load();
   std::optional<std::string> Reason = this->unavailableReason(Request);
   const MonoTime Now = monoNow();
-  const MonoTime ColdStartTime =
-      this->ColdStart.startTime(this->Queue.waiting(), Now);
+  const MonoTime ColdStartTime = this->ColdStart.startTime(
+      this->ColdStart.callsAhead(this->Queue.waiting(), Request.nested(), Now),
+      Now);
   if (!Reason && ColdStartTime > Now) {
     Reason = std::string(ColdReason);
     Reply.set_retry_after_ms(static_cast<std::uint32_t>(
@@ -280,8 +281,14 @@
   if (!this->HasReadLimit && NewCall->Request.known_limit_per_s() > 0)
     this->setLimit(NewCall->Request.known_limit_per_s());
   // Not queued: the calls that wait for a slot may all start.
-  if (!this->ColdStart.mayStart(this->Queue.waiting(), Now)) {
-    this->reject({Ticket, ColdReason, this->ColdStart.scheduleReturn(Now)});
+  const bool IsNested = NewCall->Request.nested();
+  if (IsNested)
+    this->ColdStart.recordNestedOffer(Now);
+  const std::size_t CallsAhead =
+      this->ColdStart.callsAhead(this->Queue.waiting(), IsNested, Now);
+  if (!this->ColdStart.mayStart(CallsAhead, Now)) {
+    this->reject(
+        {Ticket, ColdReason, this->ColdStart.scheduleReturn(CallsAhead, Now)});
     return;
   }
   if (!this->Crashes.empty() && !this->passesCrashCheck(NewCall, MaxWait))
@@ -466,7 +473,7 @@
 void UpstreamGate::rejectForCold() {
   const MonoTime Now = monoNow();
   for (RejectedCall &Rejection : this->Queue.clear(ColdReason)) {
-    Rejection.RetryAfter = this->ColdStart.scheduleReturn(Now);
+    Rejection.RetryAfter = this->ColdStart.scheduleReturn(0, Now);
     this->reject(Rejection);
   }
 }
--- a/persimmonquay/traffic/cold_start_limiter.cc
+++ b/persimmonquay/traffic/cold_start_limiter.cc
@@ -16,6 +16,14 @@
 /// Lowest rate in calls a second.
 constexpr double MinRate = 0.01;
 
+/// Calls of other upstreams for which room is kept, and the time without such a
+/// call after which none is. Less than what the bucket holds at usual rates.
+constexpr std::size_t NestedReserve = 2;
+constexpr Millis NestedOfferAge{2000};
+
+/// Lowest rate at which room is kept: the bucket holds calls of half a second.
+constexpr double MinRateForReserve = 2 * (NestedReserve + 1);
+
 /// Longest time that a refused call is told to wait. An upstream that is only
 /// assumed to be cold is warm sooner, and nodes that come back find out.
 constexpr Millis MaxReturnDelay{1000};
@@ -70,12 +78,12 @@
     this->Pacer.recordSend(Now);
 }
 
-Micros ColdStartLimiter::scheduleReturn(MonoTime Now) {
+Micros ColdStartLimiter::scheduleReturn(std::size_t CallsAhead, MonoTime Now) {
   if (!this->isCold(Now))
     return Micros{0};
   const auto Interval = std::chrono::duration_cast<MonoTime::duration>(
       std::chrono::duration<double>(1 / this->CallsPerSecond));
-  const MonoTime Earliest = this->startTime(0, Now);
+  const MonoTime Earliest = this->startTime(CallsAhead, Now);
   MonoTime Return = std::max(this->LastReturn + Interval, Earliest);
   // Those who come back next may not want all the room, so that the times are
   // told again.
@@ -92,6 +100,15 @@
                            : Millis{0};
 }
 
+std::size_t ColdStartLimiter::callsAhead(std::size_t WaitingCalls,
+                                         bool IsNested, MonoTime Now) const {
+  const bool KeepsRoom =
+      !IsNested && this->NestedOfferAt &&
+      Now - *this->NestedOfferAt < internal::NestedOfferAge &&
+      this->CallsPerSecond >= internal::MinRateForReserve;
+  return WaitingCalls + (KeepsRoom ? internal::NestedReserve : 0);
+}
+
 MonoTime ColdStartLimiter::startTime(std::size_t CallsAhead,
                                      MonoTime Now) const {
   if (!this->isCold(Now))
--- a/persimmonquay/traffic/cold_start_limiter.h
+++ b/persimmonquay/traffic/cold_start_limiter.h
@@ -9,6 +9,9 @@
 //    first call, they end, come back cold, and end again.
 //  - Callers and nodes that come back after a refusal. They are told different
 //    times, at which there is room for one of them after the other.
+//  - Calls that other upstreams make while they run a call, beside those of
+//    callers. If one is refused, the work of the call that needs it is lost, so
+//    that some room is kept for them while there are any.
 //  - An upstream that turns cold while it serves calls, or of which nobody has
 //    told whether it is cold. It is taken to be cold until it has said
 //    otherwise or the service's cold time has passed.
@@ -36,11 +39,12 @@
 /// Example:
 ///   Limiter.setLimits(Service.Duration, Service.CallsPerSecond, Now);
 ///   Limiter.assumeCold(Now);
-///   if (Limiter.mayStart(0, Now)) {
+///   const std::size_t Ahead = Limiter.callsAhead(Waiting, IsNested, Now);
+///   if (Limiter.mayStart(Ahead, Now)) {
 ///     Limiter.recordSend(Now);
 ///     send();
 ///   } else {
-///     reject(Limiter.scheduleReturn(Now));
+///     reject(Limiter.scheduleReturn(Ahead, Now));
 ///   }
 class ColdStartLimiter {
 public:
@@ -61,9 +65,12 @@
   /// Counts a call that is sent to the upstream now.
   void recordSend(MonoTime Now);
 
+  /// Notes that another upstream's call is offered now; see `callsAhead()`.
+  void recordNestedOffer(MonoTime Now) { this->NestedOfferAt = Now; }
+
   /// Returns after how long a call that is refused now finds room. Each refused
   /// call is told another time.
-  Micros scheduleReturn(MonoTime Now);
+  Micros scheduleReturn(std::size_t CallsAhead, MonoTime Now);
 
   // Queries.
 
@@ -80,6 +87,12 @@
   /// Returns how much longer the calls are limited; 0 if they are not.
   Millis remaining(MonoTime Now) const;
 
+  /// Returns how many calls go before one that arrives now: those that wait for
+  /// a slot and, unless another upstream makes it, a few for which room is kept
+  /// if upstreams have made calls lately.
+  std::size_t callsAhead(std::size_t WaitingCalls, bool IsNested,
+                         MonoTime Now) const;
+
   /// Returns when a call may be sent after `CallsAhead` others, `Now` or later.
   MonoTime startTime(std::size_t CallsAhead, MonoTime Now) const;
 
@@ -100,6 +113,7 @@
   /// anything since.
   std::optional<MonoTime> AssumedAt;
   CallPacer Pacer;
+  std::optional<MonoTime> NestedOfferAt;
   /// The time that was told to the last refused call.
   MonoTime LastReturn;
 };
--- a/persimmonquay/traffic/cold_start_limiter_test.cc
+++ b/persimmonquay/traffic/cold_start_limiter_test.cc
@@ -126,7 +126,7 @@
   ColdStartLimiter Limiter = coldLimiter(Now);
   std::set<Micros> Times;
   for (int I = 0; I < 13; ++I) {
-    const Micros Delay = Limiter.scheduleReturn(Now);
+    const Micros Delay = Limiter.scheduleReturn(0, Now);
     CHECK(Delay > Micros(0));
     CHECK(Delay <= Millis(1000));
     Times.insert(Delay);
@@ -134,9 +134,52 @@
   CHECK(Times.size() == 13);
   // When the upstream is warm, there is room for all.
   Now += ColdTime - Millis(50);
-  CHECK(Limiter.scheduleReturn(Now) <= Millis(50));
+  CHECK(Limiter.scheduleReturn(0, Now) <= Millis(50));
   Now += Millis(50);
-  CHECK(Limiter.scheduleReturn(Now) == Micros(0));
+  CHECK(Limiter.scheduleReturn(0, Now) == Micros(0));
+}
+
+// Beside callers' calls, of which nineteen in twenty are refused.
+TEST_CASE("few calls of other upstreams are refused") {
+  int Nested = 0;
+  int NestedRefused = 0;
+  for (unsigned Seed = 1; Seed <= 50; ++Seed) {
+    std::mt19937 Random(Seed);
+    std::bernoulli_distribution Arrives(20 * ColdRate / 1000);
+    std::bernoulli_distribution IsNested(0.01);
+    MonoTime Now{std::chrono::hours(1)};
+    ColdStartLimiter Limiter = coldLimiter(Now);
+    std::vector<MonoTime> Sent;
+    for (const MonoTime End = Now + ColdTime; Now < End; Now += Step) {
+      if (!Arrives(Random))
+        continue;
+      const bool NestedCall = IsNested(Random);
+      if (NestedCall)
+        Limiter.recordNestedOffer(Now);
+      const bool Starts =
+          Limiter.mayStart(Limiter.callsAhead(0, NestedCall, Now), Now);
+      Nested += NestedCall;
+      NestedRefused += NestedCall && !Starts;
+      if (!Starts)
+        continue;
+      Limiter.recordSend(Now);
+      Sent.push_back(Now);
+    }
+    CHECK(mostInSecond(Sent) <= AllowedInSecond);
+    CHECK(static_cast<double>(Sent.size()) > 0.85 * 3 * ColdRate);
+  }
+  // The first one of each run comes before room has been kept.
+  CHECK(NestedRefused < 50 + Nested / 10);
+}
+
+TEST_CASE_FIXTURE(LimiterFixture, "a low rate is used up although room is kept "
+                                  "for calls of other upstreams") {
+  ColdStartLimiter Limiter;
+  Limiter.setLimits(ColdTime, 1, Now);
+  Limiter.assumeCold(Now);
+  Limiter.recordNestedOffer(Now);
+  Now += Millis(1500);
+  CHECK(Limiter.mayStart(Limiter.callsAhead(0, false, Now), Now));
 }
 
 TEST_CASE_FIXTURE(LimiterFixture, "absurd cold times and rates are bounded") {
@@ -148,7 +191,7 @@
   Limiter.setLimits(std::chrono::hours(24 * 365 * 100), 1e-300, Now);
   Limiter.assumeCold(Now);
   CHECK(Limiter.remaining(Now) == std::chrono::minutes(1));
-  CHECK(Limiter.scheduleReturn(Now) <= Millis(1000));
+  CHECK(Limiter.scheduleReturn(0, Now) <= Millis(1000));
   for (const double Rate : {-3.0, std::numeric_limits<double>::quiet_NaN(),
                             std::numeric_limits<double>::infinity()}) {
     Limiter.setLimits(ColdTime, Rate, Now);
--- a/testing/model/mesh_model.cc
+++ b/testing/model/mesh_model.cc
@@ -366,7 +366,7 @@
                            }};
     if (!At.ColdStart.mayStart(At.Queue.waiting(), this->Now)) {
       this->reject(Target, {Queued.Id, ColdReason,
-                            At.ColdStart.scheduleReturn(this->Now)});
+                            At.ColdStart.scheduleReturn(0, this->Now)});
       return;
     }
     const Admission Decision = At.Queue.offer(Queued, MaxWait, this->Now);
