--- a/testing/model/mesh_model.h
+++ b/testing/model/mesh_model.h
@@ -74,6 +74,13 @@
   Millis Duration{20000};
   /// Rates are multiplied by this in a part of the run.
   double BurstFactor = 1;
+  /// Calls a second that a cold upstream bears; 0 if there is no limit. It ends
+  /// if it gets many more in one second, and is back after a while, cold.
+  double ColdRate = 0;
+  /// How long upstreams are cold, from the beginning of the run.
+  Millis ColdDuration{0};
+  /// Whether the gates hold the rate of cold upstreams.
+  bool LimitsColdUpstreams = true;
   Millis BurstFrom{0};
   Millis BurstUntil{0};
   /// Rates swing by this part of them, in each data centre at another time.
@@ -137,6 +144,10 @@
   /// By the second of their arrival.
   std::map<std::int64_t, ModelCounts> BySecond;
   std::vector<ModelDemand> Demand;
+  /// Times that a cold upstream has ended.
+  int Crashes = 0;
+  /// Answers by the second of the run in which they arrived.
+  std::map<std::int64_t, int> AnsweredInSecond;
 
   double offeredWorth() const;
   /// Returns the earned part of the worth of the requests.
