accounts: silent keepers are asked less and less often

Cause: calls wait 0.1 s for the ask that finds a keeper still silent. Change: the time between such asks doubles up to 4 s. Result: accounts_test (10 cases) passes.

--- a/persimmonquay/accounts/quota_balances.cc
+++ b/persimmonquay/accounts/quota_balances.cc
@@ -21,8 +21,10 @@
 /// the hold time; with fewer, too many would expire.
 constexpr double MinHeldCalls = 3;
 
-/// Time for which a keeper that hasn't replied is not asked again.
-constexpr Millis SilenceBackoff{500};
+/// Time for which a keeper that hasn't replied is not asked again; doubled with
+/// each further ask without a reply, because calls wait for it.
+constexpr Millis MinSilenceBackoff{500};
+constexpr Millis MaxSilenceBackoff{4000};
 
 /// The same for one that can't grant anything yet.
 constexpr Millis NotReadyBackoff{100};
@@ -79,7 +81,10 @@
     if (Keeper.Asked == 0 || Now - Keeper.AskedAt < AskTimeout)
       continue;
     Keeper.Asked = 0;
-    Keeper.SilentUntil = Now + internal::SilenceBackoff;
+    Keeper.SilenceBackoff =
+        std::clamp(Keeper.SilenceBackoff * 2, internal::MinSilenceBackoff,
+                   internal::MaxSilenceBackoff);
+    Keeper.SilentUntil = Now + Keeper.SilenceBackoff;
   }
 }
 
@@ -137,7 +142,7 @@
   --Each.Waiting;
   if (RoomAt == MonoTime::max()) {
     Result.Verdict = QuotaDecision::Kind::Unavailable;
-    Result.RetryAfter = internal::SilenceBackoff;
+    Result.RetryAfter = internal::MinSilenceBackoff;
     return Result;
   }
   Result.Verdict = QuotaDecision::Kind::Refused;
@@ -257,6 +262,7 @@
         continue;
       if (Keeper.AskId == Grant.id())
         Keeper.Asked = 0;
+      Keeper.SilenceBackoff = Millis(0);
       Keeper.SilentUntil =
           IsStated ? MonoTime() : Now + internal::NotReadyBackoff;
       if (IsStated && Grant.retry_after_ms(Index) > 0)
--- a/persimmonquay/accounts/quota_balances.h
+++ b/persimmonquay/accounts/quota_balances.h
@@ -126,6 +126,7 @@
     /// The keeper has too little, or doesn't reply, until then.
     MonoTime ShortUntil;
     MonoTime SilentUntil;
+    Millis SilenceBackoff{0};
   };
   struct Account {
     /// By expiry.
