--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -137,6 +137,10 @@
   /// Looks up the route and sets deadline, objective, service and versions of
   /// `Call`. Returns an error response if the request cannot be routed.
   std::optional<HttpResponse> prepareCall(RoutedCall &Call);
+  /// Sets the account of `Call` by its key and whether it is nested. Removes
+  /// the key and the account's name from its headers if the configuration has
+  /// accounts. Returns an error response if the call must not be routed.
+  std::optional<HttpResponse> checkAccess(RoutedCall &Call);
   /// Spends a call of the account's quota. Returns an error response if there
   /// is none left.
   asio::awaitable<std::optional<HttpResponse>>
--- a/persimmonquay/daemon/caller_responses.h
+++ b/persimmonquay/daemon/caller_responses.h
@@ -16,6 +16,9 @@
 struct RoutedCall;
 struct RouteTarget;
 
+/// The call has no key of a client account; callers don't retry it.
+inline constexpr unsigned StatusUnauthorized = 401;
+
 /// The account is beyond its quota; the call has not run and will not run.
 inline constexpr unsigned StatusTooManyRequests = 429;
 
--- a/persimmonquay/daemon/routed_call.h
+++ b/persimmonquay/daemon/routed_call.h
@@ -27,6 +27,8 @@
   std::shared_ptr<const RouteTable> Routes;
   /// Account of the caller, in `Routes`; null if it has none.
   const proto::ClientAccount *Account = nullptr;
+  /// Whether the upstream on this host makes the call while it runs another.
+  bool IsNested = false;
   /// What the call has spent of the account's quota.
   std::optional<QuotaCharge> Charge;
   std::string Service;
