--- a/persimmonquay/accounts/quota_balances.cc
+++ b/persimmonquay/accounts/quota_balances.cc
@@ -30,7 +30,7 @@
 constexpr Millis NotReadyBackoff{100};
 
 /// Time without calls after which an account is forgotten.
-constexpr Millis IdleAccountLifetime{10000};
+constexpr Millis IdleAccountLifetime{5000};
 
 } // namespace internal
 
@@ -128,7 +128,7 @@
     Result.Verdict = QuotaDecision::Kind::Admitted;
     Result.Charge = {Name, Each.Batches.front().Expiry};
     if (--Each.Batches.front().Calls == 0)
-      Each.Batches.pop_front();
+      Each.Batches.erase(Each.Batches.begin());
     --Each.Waiting;
     return Result;
   }
--- a/persimmonquay/accounts/quota_balances.h
+++ b/persimmonquay/accounts/quota_balances.h
@@ -11,7 +11,6 @@
 #include "persimmonquay/base/time.h"
 #include "proto/link.pb.h"
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -130,7 +129,7 @@
   };
   struct Account {
     /// By expiry.
-    std::deque<Batch> Batches;
+    std::vector<Batch> Batches;
     std::uint32_t Waiting = 0;
     /// Calls a second lately.
     double Demand = 0;
--- a/persimmonquay/accounts/quota_keeper.h
+++ b/persimmonquay/accounts/quota_keeper.h
@@ -51,6 +51,7 @@
 
   // Queries.
 
+  const Limits &limits() const { return this->AccountLimits; }
   bool isStarted() const { return this->StartedAt.has_value(); }
   /// Returns the calls granted so far.
   std::uint64_t granted() const { return this->GrantedCalls; }
--- a/persimmonquay/accounts/quota_test.cc
+++ b/persimmonquay/accounts/quota_test.cc
@@ -453,6 +453,7 @@
   REQUIRE(Balances.admit(Account, Start).Verdict == QuotaDecision::Kind::Wait);
   const auto Asks = Balances.takeAsks(Start);
   REQUIRE(Asks.size() == 1);
+  CHECK(Asks.front().second.ByteSizeLong() <= 20);
   proto::QuotaGrant Grant;
   Grant.set_id(Asks.front().second.id());
   Grant.add_granted(3);
@@ -541,6 +542,25 @@
   CHECK(Balances.resume(7, at(0)).Verdict == QuotaDecision::Kind::Unavailable);
 }
 
+TEST_CASE("messages of an account far beyond its quota don't grow with nodes") {
+  for (const std::size_t NodesEach : {5, 40}) {
+    CAPTURE(NodesEach);
+    const QuotaLimit Limit{100, 100};
+    QuotaMesh Mesh(2, NodesEach, Limit, 5);
+    for (std::size_t I = 0; I < Mesh.Nodes.size(); ++I)
+      Mesh.callers(I, 20 * Limit.RatePerSecond / (2.0 * NodesEach), 12);
+    Mesh.run(2);
+    const std::uint64_t Before = Mesh.AskCount;
+    Mesh.run(12);
+    // Nodes that got all they wanted come back as well, at most once for each
+    // call that is granted.
+    CHECK(static_cast<double>(Mesh.AskCount - Before) / 10 <
+          2 * 50 + Limit.RatePerSecond);
+    CHECK(static_cast<double>(Mesh.spentBetween(2, 12)) >
+          0.95 * 10 * Limit.RatePerSecond);
+  }
+}
+
 TEST_CASE("a lower limit binds once all nodes have it") {
   for (std::uint64_t Seed = 1; Seed <= 100; ++Seed) {
     CAPTURE(Seed);
--- a/persimmonquay/daemon/quota_service.cc
+++ b/persimmonquay/daemon/quota_service.cc
@@ -35,7 +35,7 @@
       Next[accountHash(Account.name())] = {Account.rate_per_s(),
                                            Account.burst()};
   std::size_t Changed = 0;
-  for (const auto &[Account, Limit] : this->Limits) {
+  for (const auto &[Account, Limit] : this->Keeper.limits()) {
     const auto Found = Next.find(Account);
     if (Found != Next.end() && Found->second == Limit)
       continue;
@@ -43,12 +43,11 @@
     this->Balances.dropHeldCalls(Account);
     ++Changed;
   }
-  if (Changed > 0 || Next.size() != this->Limits.size())
+  if (Changed > 0 || Next.size() != this->Keeper.limits().size())
     logLine(LogLevel::Info, "quotas of accounts changed",
             {{"version", std::to_string(Configuration.version())},
              {"accounts", std::to_string(Next.size())},
              {"changed", std::to_string(Changed)}});
-  this->Limits = Next;
   this->Keeper.setLimits(std::move(Next), monoNow());
 }
 
@@ -67,7 +66,7 @@
   this->NodesChangedAt = Now;
   this->Placement.setMembers(Members, Now);
   this->Keeper.updateShare(Now);
-  if (this->isKeeping() && !this->Limits.empty())
+  if (this->isKeeping() && !this->Keeper.limits().empty())
     logLine(LogLevel::Info, "keepers of quotas changed",
             {{"nodes", std::to_string(Nodes.entries().size())},
              {"data_centres", std::to_string(Members.size())},
@@ -78,10 +77,10 @@
   if (this->isKeeping())
     return;
   this->Keeper.start(monoNow());
-  if (!this->Limits.empty())
+  if (!this->Keeper.limits().empty())
     logLine(LogLevel::Info, "keeping quotas",
             {{"reason", Reason},
-             {"accounts", std::to_string(this->Limits.size())},
+             {"accounts", std::to_string(this->Keeper.limits().size())},
              {"share", std::to_string(this->Placement.ownShare())}});
 }
 
--- a/persimmonquay/daemon/quota_service.h
+++ b/persimmonquay/daemon/quota_service.h
@@ -99,7 +99,6 @@
   QuotaPlacement Placement;
   QuotaKeeper Keeper;
   QuotaBalances Balances;
-  QuotaKeeper::Limits Limits;
   /// Requests that wait for a grant.
   std::unordered_map<AccountHash, std::vector<std::shared_ptr<CallerRequest>>>
       Waiters;
