--- a/persimmonquay/accounts/quota_balances.h
+++ b/persimmonquay/accounts/quota_balances.h
@@ -11,7 +11,6 @@
 #include "persimmonquay/base/time.h"
 #include "proto/link.pb.h"
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -126,10 +125,11 @@
     /// The keeper has too little, or doesn't reply, until then.
     MonoTime ShortUntil;
     MonoTime SilentUntil;
+    Millis SilenceBackoff{0};
   };
   struct Account {
     /// By expiry.
-    std::deque<Batch> Batches;
+    std::vector<Batch> Batches;
     std::uint32_t Waiting = 0;
     /// Calls a second lately.
     double Demand = 0;
