traffic: a call is offered to more upstreams if they have few slots

A call joined the shortest queue once three upstreams of its data centre were full, although with 4 slots each another one often had a free slot. It is now offered to up to 6, until they have 20 slots together; nothing changes from 7 slots on.

The new test gives 3 offers at every number of slots without the change.

--- a/persimmonquay/traffic/call_placement.cc
+++ b/persimmonquay/traffic/call_placement.cc
@@ -12,6 +12,11 @@
 /// three offers all meet full upstreams for one call in a thousand.
 constexpr std::size_t MaxLocalOffers = 3;
 
+/// Upstreams with few slots are full more often at the same load, so that a
+/// call is offered to more of them: until they have this many slots together.
+constexpr std::size_t MinOfferedSlots = 20;
+constexpr std::size_t MaxLocalOffersToSmall = 6;
+
 /// Maximum number of offers to upstreams of other data centres; each costs a
 /// transfer between data centres.
 constexpr std::size_t MaxRemoteOffers = 2;
@@ -140,7 +145,7 @@
   for (const Candidate &Next : rankUpstreams(Views, Tiebreakers, Now)) {
     const std::size_t Index = Indices[Next.Index];
     if (Next.Local || this->NoLocalUpstream) {
-      if (!Local && this->LocalOffers < internal::MaxLocalOffers)
+      if (!Local && this->mayOfferLocally())
         Local = Index;
       continue;
     }
@@ -196,10 +201,18 @@
 
 void CallPlacement::recordBusy(const PlacementTarget &Target, Micros Wait) {
   this->BusyNodes[Target.Node] = Wait;
-  if (Target.View.isLocal() || this->NoLocalUpstream)
+  if (Target.View.isLocal() || this->NoLocalUpstream) {
     ++this->LocalOffers;
-  else
+    this->OfferedSlots += Target.View.slots();
+  } else {
     ++this->RemoteOffers;
+  }
+}
+
+bool CallPlacement::mayOfferLocally() const {
+  return this->LocalOffers < internal::MaxLocalOffers ||
+         (this->LocalOffers < internal::MaxLocalOffersToSmall &&
+          this->OfferedSlots < internal::MinOfferedSlots);
 }
 
 } // namespace persimmonquay
--- a/persimmonquay/traffic/call_placement.h
+++ b/persimmonquay/traffic/call_placement.h
@@ -103,6 +103,10 @@
   std::size_t busyCount() const { return this->BusyNodes.size(); }
 
 private:
+  /// Returns whether the call may be offered to another upstream of the local
+  /// data centre.
+  bool mayOfferLocally() const;
+
   /// Upstreams that have rejected the call because of load, with the wait that
   /// they reported.
   std::map<std::string, Micros> BusyNodes;
@@ -110,6 +114,8 @@
   /// other ones.
   std::size_t LocalOffers = 0;
   std::size_t RemoteOffers = 0;
+  /// Slots of the upstreams of the data centre that rejected the call.
+  std::size_t OfferedSlots = 0;
   /// Whether the call has been offered to the shortest queue that it met.
   bool JoinedQueue = false;
   /// Whether the data centre has no upstream for the call; those of others are
--- a/persimmonquay/traffic/traffic_test.cc
+++ b/persimmonquay/traffic/traffic_test.cc
@@ -524,6 +524,38 @@
   CHECK(Setup.offer(Placement)->Index == 0);
 }
 
+/// Returns how many full upstreams of its data centre a call is offered to
+/// before it joins the shortest queue.
+int offersToFullUpstreams(std::uint32_t SlotCount) {
+  const MonoTime Now = monoNow();
+  const std::vector<std::string> Names = {"a", "b", "c", "d",
+                                          "e", "f", "g", "h"};
+  const UpstreamView View(true, SlotCount);
+  std::vector<PlacementTarget> Targets;
+  for (const std::string &Name : Names)
+    Targets.push_back({Name, Names[0], View});
+  PlacementGoal Goal;
+  Goal.Objective = Now + Millis(400);
+  Goal.Deadline = Now + Millis(1500);
+  Goal.MeanProcessingTime = Millis(100);
+  CallPlacement Placement;
+  int Offers = 0;
+  while (const auto Offer = Placement.nextOffer(
+             Goal, Targets, [](const std::string &) { return false; },
+             [] { return 0.5; }, Now)) {
+    ++Offers;
+    Placement.recordBusy(Targets[Offer->Index], Millis(100));
+  }
+  return Offers - 1;
+}
+
+TEST_CASE("a call is offered to more upstreams if they have few slots") {
+  for (const std::uint32_t SlotCount : {7, 9, 18})
+    CHECK(offersToFullUpstreams(SlotCount) == 3);
+  CHECK(offersToFullUpstreams(4) == 5);
+  CHECK(offersToFullUpstreams(1) == 6);
+}
+
 TEST_CASE("the expected wait shrinks as the report gets older") {
   const MonoTime Now = monoNow();
   UpstreamView View(true, 9);
--- a/persimmonquay/traffic/upstream_ranking.h
+++ b/persimmonquay/traffic/upstream_ranking.h
@@ -70,6 +70,7 @@
   }
 
   std::uint32_t inFlight() const { return this->InFlight; }
+  std::uint32_t slots() const { return this->Slots; }
 
   /// Returns the expected time that a call would wait for a slot there.
   std::chrono::microseconds expectedWait(MonoTime Now) const;
