daemon, traffic: answers leave a thin link by priority, deadline and size

Cause: a host's link may carry less than its upstream answers. Answers went to the kernel at once, so short ones waited behind more than a second of downloads in TCP queues, and the router replaced an answer that was on its way by 504.

LinkAdmission learns the size of answers by route and rejects calls whose answer the link can't carry in time, with the time when there is room. A reply that has begun to arrive is awaited past the deadline. Without `link_mbps`, or on a wide link, answers are sent as before. A node that doesn't ask for parts gets none. Metrics pq_link_* and log lines show what waits.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -28,6 +28,10 @@
 /// notice.
 constexpr Millis DeadlineGrace{60};
 
+/// A reply that has begun to arrive is awaited past that time until nothing of
+/// it has arrived for this long: replies of more important calls may pass it.
+constexpr Millis ReplyStallTimeout{1000};
+
 /// Processing time that is assumed for a route without measurements.
 constexpr Micros DefaultProcessingTime{50000};
 
@@ -446,8 +450,13 @@
   while (!Call->Reply && !Call->Request->CallerDisconnected) {
     Call->Request->WakeTimer.expires_at(Expiry);
     const auto [Error] = co_await Call->Request->WakeTimer.async_wait(NoThrow);
-    if (!Error)
+    if (Error)
+      continue;
+    const std::optional<MonoTime> Progress =
+        Link ? Link->lastReplyProgress(Ticket) : std::nullopt;
+    if (!Progress || monoNow() - *Progress >= internal::ReplyStallTimeout)
       break;
+    Expiry = *Progress + internal::ReplyStallTimeout;
   }
   Target.View.recordEnded();
   if (Call->Reply)
--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -137,8 +137,9 @@
   asio::awaitable<bool> offer(const std::shared_ptr<RoutedCall> &Call,
                               RouteTarget &Target,
                               std::chrono::microseconds MaxWait);
-  /// Sends `Request` and waits for the reply until `Expiry` or until the caller
-  /// disconnects. Without a reply, the request is cancelled.
+  /// Sends `Request` and waits for the reply until `Expiry`, or longer while it
+  /// is arriving, or until the caller disconnects. Without a reply, the request
+  /// is cancelled.
   asio::awaitable<void> exchange(const std::shared_ptr<RoutedCall> &Call,
                                  RouteTarget &Target,
                                  proto::CallRequest Request, MonoTime Expiry);
--- a/persimmonquay/daemon/frame_channel.cc
+++ b/persimmonquay/daemon/frame_channel.cc
@@ -86,6 +86,8 @@
           Self->close();
         else if (!Self->WriteQueue.empty())
           Self->startWrite();
+        else if (Self->OnDrained)
+          Self->OnDrained();
       });
 }
 
--- a/persimmonquay/daemon/frame_channel.h
+++ b/persimmonquay/daemon/frame_channel.h
@@ -6,10 +6,12 @@
 #include "persimmonquay/daemon/asio.h"
 #include "persimmonquay/daemon/frame_limits.h"
 #include "proto/link.pb.h"
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace persimmonquay {
 
@@ -33,6 +35,12 @@
   /// an invalid frame.
   asio::awaitable<std::optional<proto::LinkFrame>> receive();
 
+  /// Sets the function that is called whenever everything that was sent has
+  /// been given to the kernel.
+  void setDrainHandler(std::function<void()> Handler) {
+    this->OnDrained = std::move(Handler);
+  }
+
   void close();
 
   bool isOpen() const { return this->Socket.is_open(); }
@@ -71,6 +79,7 @@
   std::size_t ReceivedBytes = 0;
   std::size_t ConsumedBytes = 0;
   MonoTime LastReceived;
+  std::function<void()> OnDrained;
 };
 
 } // namespace persimmonquay
--- a/persimmonquay/daemon/link_server.cc
+++ b/persimmonquay/daemon/link_server.cc
@@ -2,6 +2,7 @@
 
 #include "persimmonquay/base/logging.h"
 #include "persimmonquay/daemon/frame_channel.h"
+#include "persimmonquay/daemon/link_transmitter.h"
 #include "persimmonquay/daemon/upstream_gate.h"
 #include <map>
 #include <utility>
@@ -16,12 +17,21 @@
 /// Bound on the calls of one connection that wait for later frames.
 constexpr std::size_t MaxUnsubmittedCalls = 64;
 
+/// Returns what the link has to know of a call that has just been received.
+LinkCall linkCall(const proto::CallRequest &Call) {
+  const MonoTime Now = monoNow();
+  return {Call.route(), Call.priority(), Now + Millis(Call.objective_ms()),
+          Now + Millis(Call.remaining_ms())};
+}
+
 /// The calls of one connection that have no reply yet.
 class LinkCalls {
 public:
   LinkCalls(UpstreamGate &LocalGate,
-            const std::shared_ptr<FrameChannel> &CallerChannel)
-      : Gate(LocalGate), Channel(CallerChannel) {}
+            const std::shared_ptr<LinkTransmitter> &HostTransmitter,
+            LinkTransmitter::ConnectionId CallerConnection)
+      : Gate(LocalGate), Transmitter(HostTransmitter),
+        Connection(CallerConnection) {}
 
   /// Adds a call that has been received.
   void add(proto::CallRequest Call) {
@@ -34,14 +44,17 @@
       this->submit(std::move(Call));
   }
 
-  /// Cancels the call to which the sender gave this id, if it has no reply yet.
+  /// Cancels the call to which the sender gave this id, or what has not been
+  /// sent of the reply to it.
   void cancel(std::uint64_t Id) {
     std::erase_if(this->Unsubmitted, [Id](const proto::CallRequest &Call) {
       return Call.id() == Id;
     });
     const auto Found = this->Tickets->find(Id);
-    if (Found == this->Tickets->end())
+    if (Found == this->Tickets->end()) {
+      this->Transmitter->cancel(this->Connection, Id);
       return;
+    }
     this->Gate.cancel(Found->second);
     this->Tickets->erase(Found);
   }
@@ -60,17 +73,27 @@
 private:
   void submit(proto::CallRequest Call) {
     const std::uint64_t Id = Call.id();
+    const LinkCall Answer = linkCall(Call);
+    const ReplyOrder Order{Answer.Priority, Answer.Deadline,
+                           Call.takes_body_parts()};
+    if (std::optional<proto::CallReply> Rejection =
+            this->Transmitter->rejectionOf(Call, Answer)) {
+      *Rejection->mutable_load() = this->Gate.load();
+      this->Transmitter->sendReply(this->Connection, *std::move(Rejection),
+                                   Order);
+      return;
+    }
     (*this->Tickets)[Id] = 0;
     const std::uint64_t Ticket = this->Gate.submit(
-        std::move(Call), [WeakChannel = this->Channel, Tickets = this->Tickets,
-                          Id](proto::CallReply Reply) {
+        std::move(Call),
+        [Transmitter = this->Transmitter, Connection = this->Connection,
+         Tickets = this->Tickets, Expected = Transmitter->expectAnswer(Answer),
+         Route = Answer.Route, Order, Id](proto::CallReply Reply) mutable {
           Tickets->erase(Id);
-          const std::shared_ptr<FrameChannel> OpenChannel = WeakChannel.lock();
-          if (!OpenChannel)
-            return;
-          proto::LinkFrame Frame;
-          *Frame.mutable_reply() = std::move(Reply);
-          OpenChannel->send(Frame);
+          Expected.reset();
+          if (Reply.outcome() == proto::ANSWERED && Reply.status() < 300)
+            Transmitter->recordAnswer(Route, Reply);
+          Transmitter->sendReply(Connection, std::move(Reply), Order);
         });
     // The gate may have replied already.
     if (const auto Found = this->Tickets->find(Id);
@@ -79,7 +102,8 @@
   }
 
   UpstreamGate &Gate;
-  std::weak_ptr<FrameChannel> Channel;
+  std::shared_ptr<LinkTransmitter> Transmitter;
+  LinkTransmitter::ConnectionId Connection;
   std::vector<proto::CallRequest> Unsubmitted;
   /// Tickets of the submitted calls by the id that the sender chose. Shared
   /// with the reply handlers, which may outlive the connection.
@@ -90,9 +114,11 @@
 } // namespace internal
 
 LinkServer::LinkServer(asio::io_context &IoContext, UpstreamGate &LocalGate,
+                       std::shared_ptr<LinkTransmitter> HostTransmitter,
                        FrameLimits LinkLimits,
                        ConfigurationSource GetConfiguration)
-    : Context(IoContext), Gate(LocalGate), Limits(LinkLimits),
+    : Context(IoContext), Gate(LocalGate),
+      Transmitter(std::move(HostTransmitter)), Limits(LinkLimits),
       GetNewerConfiguration(std::move(GetConfiguration)) {}
 
 void LinkServer::start(Tcp::acceptor ListeningSocket) {
@@ -137,7 +163,9 @@
 }
 
 asio::awaitable<void> LinkServer::serve(std::shared_ptr<FrameChannel> Channel) {
-  internal::LinkCalls Calls(this->Gate, Channel);
+  const LinkTransmitter::ConnectionId Connection =
+      this->Transmitter->add(Channel);
+  internal::LinkCalls Calls(this->Gate, this->Transmitter, Connection);
   while (true) {
     if (Calls.hasUnsubmitted() &&
         (Calls.isFull() || !Channel->hasUnreadFrames())) {
@@ -153,26 +181,34 @@
     else if (Frame->has_cancel())
       Calls.cancel(Frame->cancel().id());
     else
-      this->handleOtherFrame(*Channel, *std::move(Frame));
+      this->handleOtherFrame(Connection, *std::move(Frame));
   }
   Calls.cancelAll();
+  this->Transmitter->remove(Connection);
   Channel->close();
   this->Channels.erase(Channel);
 }
 
-void LinkServer::handleOtherFrame(FrameChannel &Channel,
+void LinkServer::handleOtherFrame(std::uint64_t Connection,
                                   proto::LinkFrame Frame) {
   if (Frame.has_call()) {
-    proto::LinkFrame Reply;
-    *Reply.mutable_reply() = this->Gate.checkAdmission(Frame.call());
-    Channel.send(Reply);
+    const LinkCall Answer = internal::linkCall(Frame.call());
+    proto::CallReply Reply = this->Gate.checkAdmission(Frame.call());
+    if (Reply.outcome() == proto::WOULD_TAKE)
+      if (std::optional<proto::CallReply> Rejection =
+              this->Transmitter->rejectionOf(Frame.call(), Answer)) {
+        *Rejection->mutable_load() = Reply.load();
+        Reply = *std::move(Rejection);
+      }
+    this->Transmitter->sendReply(Connection, std::move(Reply),
+                                 {Answer.Priority, Answer.Deadline, false});
   } else if (Frame.has_probe()) {
     Frame.mutable_probe()->set_answer(true);
-    Channel.send(Frame);
+    this->Transmitter->send(Connection, Frame);
   } else if (Frame.has_query()) {
     if (const std::optional<proto::LinkFrame> Update =
             this->GetNewerConfiguration(Frame.query().have_version()))
-      Channel.send(*Update);
+      this->Transmitter->send(Connection, *Update);
   }
 }
 
--- a/persimmonquay/daemon/link_server.h
+++ b/persimmonquay/daemon/link_server.h
@@ -5,6 +5,7 @@
 #include "persimmonquay/daemon/asio.h"
 #include "persimmonquay/daemon/frame_limits.h"
 #include "proto/link.pb.h"
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -14,9 +15,11 @@
 
 class UpstreamGate;
 class FrameChannel;
+class LinkTransmitter;
 
 /// Accepts connections from the PeerLinks of other nodes and passes their calls
-/// to the gate of the local upstream. When a connection ends, its pending calls
+/// to the gate of the local upstream, unless the host's link can't carry their
+/// answers in time. When a connection ends, its pending calls
 /// are cancelled; see UpstreamGate::cancel().
 ///
 /// Handles a node that was paused, or whose connection stalled, for seconds: it
@@ -32,6 +35,7 @@
       std::function<std::optional<proto::LinkFrame>(std::uint64_t)>;
 
   LinkServer(asio::io_context &IoContext, UpstreamGate &LocalGate,
+             std::shared_ptr<LinkTransmitter> HostTransmitter,
              FrameLimits LinkLimits, ConfigurationSource GetConfiguration);
 
   void start(Tcp::acceptor ListeningSocket);
@@ -41,10 +45,11 @@
   asio::awaitable<void> acceptLoop();
   asio::awaitable<void> serve(std::shared_ptr<FrameChannel> Channel);
   /// Handles every frame except calls and cancels.
-  void handleOtherFrame(FrameChannel &Channel, proto::LinkFrame Frame);
+  void handleOtherFrame(std::uint64_t Connection, proto::LinkFrame Frame);
 
   asio::io_context &Context;
   UpstreamGate &Gate;
+  std::shared_ptr<LinkTransmitter> Transmitter;
   FrameLimits Limits;
   ConfigurationSource GetNewerConfiguration;
   std::optional<Tcp::acceptor> Acceptor;
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -3,6 +3,7 @@
 #include "persimmonquay/base/hashing.h"
 #include "persimmonquay/base/logging.h"
 #include "persimmonquay/daemon/link_server.h"
+#include "persimmonquay/daemon/link_transmitter.h"
 #include "persimmonquay/daemon/peer_link.h"
 #include "persimmonquay/daemon/sockets.h"
 #include "persimmonquay/daemon/upstream_check.h"
@@ -109,6 +110,13 @@
 /// turn, as a share of the process's memory.
 constexpr double MaxPipelineMemoryShare = 1.0 / 8;
 
+/// Largest amount of answers that wait for the host's link, as a share of the
+/// process's memory.
+constexpr double MaxLinkMemoryShare = 1.0 / 8;
+
+/// Bytes a second of one megabit a second.
+constexpr double BytesPerMegabit = 1e6 / 8;
+
 /// Memory that is assumed if the settings state none.
 constexpr double DefaultMemoryMegabytes = 256;
 
@@ -216,6 +224,10 @@
              ExposureLimits{Setup.Settings.exposure_share(),
                             Setup.Settings.exposure_extra()},
              Setup.Writer),
+      Transmitter(std::make_shared<LinkTransmitter>(
+          Setup.Context, this->NodeMetrics,
+          Setup.Settings.link_mbps() * internal::BytesPerMegabit,
+          internal::memoryShare(Setup.Settings, internal::MaxLinkMemoryShare))),
       WatchTimer(Setup.Context) {
   proto::NodeEntry OwnEntry;
   OwnEntry.set_data_centre(this->Settings.data_centre());
@@ -264,8 +276,8 @@
     return this->Router.isIdempotent(Message);
   });
   this->Links = std::make_shared<LinkServer>(
-      this->Context, this->Gate, internal::frameLimits(this->Settings),
-      [this](std::uint64_t PeerVersion) {
+      this->Context, this->Gate, this->Transmitter,
+      internal::frameLimits(this->Settings), [this](std::uint64_t PeerVersion) {
         return this->ConfigSync.updateSince(PeerVersion);
       });
   this->Callers->start(*std::move(CallerListener));
@@ -698,6 +710,22 @@
                   this->FollowsStore ? 1 : 0);
   Gauges.setGauge("pq_rollouts", "Orders to bring in a version that are known",
                   static_cast<double>(this->Rollouts.all().size()));
+  const LinkStatistics Link = this->Transmitter->statistics();
+  Gauges.setGauge("pq_link_waiting_bytes",
+                  "Bytes for other nodes that the kernel has not taken yet",
+                  static_cast<double>(Link.WaitingBytes));
+  Gauges.setGauge("pq_link_waiting_bytes_largest",
+                  "The most of them for one node",
+                  static_cast<double>(Link.LargestWaitingBytes));
+  Gauges.setGauge("pq_link_waiting_answer_bytes",
+                  "Bytes of answers that wait for their turn on the link",
+                  static_cast<double>(Link.WaitingAnswerBytes));
+  Gauges.setGauge("pq_link_backlog_seconds",
+                  "How long the link takes for what waits",
+                  std::chrono::duration<double>(Link.Backlog).count());
+  Gauges.setGauge("pq_link_rejected_calls",
+                  "Calls rejected because of the link since the start",
+                  static_cast<double>(Link.RejectedCalls));
   const LinkTraffic RemoteTraffic = this->Router.crossDataCentreTraffic();
   Gauges.setGauge("pq_far_call_bytes", "Bytes of calls between data centres",
                   static_cast<double>(RemoteTraffic.CallBytes +
@@ -715,6 +743,14 @@
 
 void MeshNode::logTraffic() {
   this->TrafficLoggedAt = monoNow();
+  const LinkStatistics Link = this->Transmitter->statistics();
+  logLine(LogLevel::Info, "answers to other nodes since the start",
+          {{"whole", std::to_string(Link.WholeAnswers)},
+           {"in_parts", std::to_string(Link.PartedAnswers)},
+           {"dropped", std::to_string(Link.DroppedAnswers)},
+           {"rejected_calls", std::to_string(Link.RejectedCalls)},
+           {"waiting_bytes", std::to_string(Link.WaitingBytes)},
+           {"largest_bytes", std::to_string(Link.LargestWaitingBytes)}});
   const LinkTraffic RemoteTraffic = this->Router.crossDataCentreTraffic();
   logLine(LogLevel::Info, "bytes between data centres since the start",
           {{"calls", std::to_string(RemoteTraffic.CallBytes)},
@@ -770,7 +806,7 @@
   // A keep-alive connection may carry one more request until it is closed.
   while (monoNow() < ShutdownDeadline &&
          (this->Callers->connectionCount() > 0 ||
-          this->Gate.callsInFlight() > 0)) {
+          this->Gate.callsInFlight() > 0 || !this->Transmitter->isIdle())) {
     Timer.expires_after(internal::ShutdownCheckInterval);
     co_await Timer.async_wait(NoThrow);
   }
--- a/persimmonquay/daemon/mesh_node.h
+++ b/persimmonquay/daemon/mesh_node.h
@@ -31,6 +31,7 @@
 namespace persimmonquay {
 
 class LinkServer;
+class LinkTransmitter;
 
 /// Owns the components of a node and connects them. The code that talks to the
 /// platform passes it configurations, rollout orders, node entries and
@@ -190,6 +191,7 @@
   Gossip NodeGossip;
   RolloutDriver Driver;
   std::shared_ptr<CallerServer> Callers;
+  std::shared_ptr<LinkTransmitter> Transmitter;
   std::shared_ptr<LinkServer> Links;
   asio::steady_timer WatchTimer;
   /// Longest idle timeout of all configurations applied so far; callers may
--- a/persimmonquay/daemon/metrics.cc
+++ b/persimmonquay/daemon/metrics.cc
@@ -85,6 +85,10 @@
   this->GateWaitSeconds = &internal::addHistogram(
       *this->Registry, "pq_gate_wait_seconds",
       "Time that a call waited for a slot of the own upstream");
+  this->LinkWaitSeconds = &internal::addHistogram(
+      *this->Registry, "pq_link_wait_seconds",
+      "Time from a ready answer to its last byte given to the kernel, of "
+      "answers sent in parts");
   this->LoopLagSeconds =
       &internal::addHistogram(*this->Registry, "pq_loop_lag_seconds",
                               "Lateness of a timer of the event loop");
@@ -121,6 +125,10 @@
 
 void Metrics::recordUpstreamCrash() { this->UpstreamCrashes->Increment(); }
 
+void Metrics::recordLinkWait(std::chrono::microseconds Duration) {
+  this->LinkWaitSeconds->Observe(internal::toSeconds(Duration));
+}
+
 void Metrics::recordLoopLag(std::chrono::microseconds Lag) {
   this->LoopLagSeconds->Observe(internal::toSeconds(Lag));
 }
--- a/persimmonquay/daemon/metrics.h
+++ b/persimmonquay/daemon/metrics.h
@@ -57,6 +57,9 @@
   void recordStoreCall(bool Succeeded);
   /// Records that the local upstream has ended while it ran calls.
   void recordUpstreamCrash();
+  /// Records how long an answer waited for the link, until all of it had been
+  /// given to the kernel.
+  void recordLinkWait(std::chrono::microseconds Duration);
   /// Records by how much a timer of the event loop was late.
   void recordLoopLag(std::chrono::microseconds Lag);
 
@@ -79,6 +82,7 @@
   prometheus::Counter *UpstreamCrashes;
   prometheus::Histogram *RequestSeconds;
   prometheus::Histogram *GateWaitSeconds;
+  prometheus::Histogram *LinkWaitSeconds;
   prometheus::Histogram *LoopLagSeconds;
 };
 
--- a/persimmonquay/daemon/peer_link.cc
+++ b/persimmonquay/daemon/peer_link.cc
@@ -81,6 +81,7 @@
   }
   const bool WasIdle = this->PendingCalls.empty();
   Request.set_id(Id);
+  Request.set_takes_body_parts(true);
   this->PendingCalls[Id] = {std::move(Handler), Request.idempotent()};
   proto::LinkFrame Frame;
   *Frame.mutable_call() = std::move(Request);
@@ -91,7 +92,11 @@
 }
 
 void PeerLink::cancel(std::uint64_t Ticket) {
-  if (this->PendingCalls.erase(Ticket) == 0 || !this->Channel)
+  const auto Found = this->PendingCalls.find(Ticket);
+  if (Found == this->PendingCalls.end())
+    return;
+  this->take(Found);
+  if (!this->Channel)
     return;
   proto::LinkFrame Frame;
   Frame.mutable_cancel()->set_id(Ticket);
@@ -170,7 +175,8 @@
   const std::uint64_t Bytes = Frame.ByteSizeLong();
   if (Frame.has_call())
     this->Traffic.CallBytes += Bytes;
-  else if (Frame.has_reply() && Frame.reply().outcome() == proto::ANSWERED)
+  else if (Frame.has_body_part() ||
+           (Frame.has_reply() && Frame.reply().outcome() == proto::ANSWERED))
     this->Traffic.ReplyBytes += Bytes;
   else if (Frame.has_reply())
     this->Traffic.RejectionBytes += Bytes;
@@ -190,14 +196,87 @@
     this->OnConfiguration(std::move(Frame));
     return;
   }
-  if (!Frame.has_reply())
+  if (Frame.has_reply())
+    this->handleReply(std::move(*Frame.mutable_reply()));
+  else if (Frame.has_body_part())
+    this->handleBodyPart(Frame.body_part());
+}
+
+void PeerLink::handleReply(proto::CallReply Reply) {
+  const auto Found = this->PendingCalls.find(Reply.id());
+  if (Found == this->PendingCalls.end() || Found->second.Partial)
     return;
-  const auto Found = this->PendingCalls.find(Frame.reply().id());
-  if (Found == this->PendingCalls.end())
+  if (!Reply.body_follows()) {
+    this->take(Found).Handler(std::move(Reply));
+    return;
+  }
+  if (Reply.body_bytes() > this->Limits.MaxBytes - this->PartialBytes) {
+    this->giveUpReply(Found, "the answers that arrive take too much memory");
+    return;
+  }
+  this->PartialBytes += Reply.body_bytes();
+  Reply.clear_body();
+  Reply.mutable_body()->reserve(Reply.body_bytes());
+  Found->second.Partial = std::move(Reply);
+  Found->second.LastPartAt = monoNow();
+}
+
+void PeerLink::handleBodyPart(const proto::ReplyBodyPart &Part) {
+  const auto Found = this->PendingCalls.find(Part.id());
+  // The parts of a call that was cancelled may still arrive.
+  if (Found == this->PendingCalls.end() || !Found->second.Partial)
     return;
-  const ReplyHandler Handler = std::move(Found->second.Handler);
-  this->PendingCalls.erase(Found);
-  Handler(std::move(*Frame.mutable_reply()));
+  proto::CallReply &Reply = *Found->second.Partial;
+  const std::size_t Length = Reply.body().size() + Part.data().size();
+  if (Length > Reply.body_bytes() ||
+      (Part.last() && Length < Reply.body_bytes())) {
+    this->giveUpReply(Found, "the answer's length is not the announced one");
+    return;
+  }
+  Reply.mutable_body()->append(Part.data());
+  Found->second.LastPartAt = monoNow();
+  if (!Part.last())
+    return;
+  PendingCall Call = this->take(Found);
+  Call.Partial->clear_body_follows();
+  Call.Handler(*std::move(Call.Partial));
+}
+
+PeerLink::PendingCall PeerLink::take(PendingMap::iterator Position) {
+  PendingCall Result = std::move(Position->second);
+  this->PendingCalls.erase(Position);
+  if (Result.Partial)
+    this->PartialBytes -= Result.Partial->body_bytes();
+  return Result;
+}
+
+void PeerLink::giveUpReply(PendingMap::iterator Position,
+                           const std::string &Reason) {
+  const std::uint64_t Id = Position->first;
+  const ReplyHandler Handler = std::move(Position->second.Handler);
+  logLine(LogLevel::Warning, "reply of node given up",
+          {{"member", this->Node}, {"reason", Reason}});
+  this->cancel(Id);
+  Handler(internal::unknownReply(Reason));
+}
+
+void PeerLink::expirePartialReplies(MonoTime Now) {
+  std::vector<std::uint64_t> Expired;
+  for (const auto &[Id, Call] : this->PendingCalls)
+    if (Call.Partial && Now - Call.LastPartAt > this->Limits.MaxTime)
+      Expired.push_back(Id);
+  for (const std::uint64_t Id : Expired)
+    if (const auto Found = this->PendingCalls.find(Id);
+        Found != this->PendingCalls.end())
+      this->giveUpReply(Found, "the rest of the answer did not arrive in time");
+}
+
+std::optional<MonoTime>
+PeerLink::lastReplyProgress(std::uint64_t Ticket) const {
+  const auto Found = this->PendingCalls.find(Ticket);
+  if (Found == this->PendingCalls.end() || !Found->second.Partial)
+    return std::nullopt;
+  return Found->second.LastPartAt;
 }
 
 asio::awaitable<void> PeerLink::probeLoop() {
@@ -213,6 +292,7 @@
         this->IsStopped)
       break;
     const MonoTime Now = monoNow();
+    this->expirePartialReplies(Now);
     const bool IsAnswered =
         this->LastAnsweredProbe == this->LastSentProbe ||
         CurrentChannel->lastReceived() > this->ProbeSentTime;
@@ -256,6 +336,7 @@
 }
 
 void PeerLink::failPendingCalls() {
+  this->PartialBytes = 0;
   for (auto &[Id, Call] : std::exchange(this->PendingCalls, {}))
     Call.Handler(internal::unknownReply("the connection to the node was lost"));
 }
--- a/persimmonquay/daemon/peer_link.h
+++ b/persimmonquay/daemon/peer_link.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -43,6 +44,10 @@
 /// elsewhere. The others can't be retried; they wait for the peer's reply until
 /// they are cancelled or the connection ends.
 ///
+/// Reassembles replies whose bodies arrive in parts. What it holds of them is
+/// bounded by the length of one frame, and the time between two parts by the
+/// time that a frame may take.
+///
 /// Confined to one thread.
 class PeerLink : public std::enable_shared_from_this<PeerLink> {
 public:
@@ -81,6 +86,9 @@
 
   /// Returns whether the link is connected and the peer has responded recently.
   bool isUp() const;
+  /// Returns when something of the reply to a call arrived last; none if
+  /// nothing has.
+  std::optional<MonoTime> lastReplyProgress(std::uint64_t Ticket) const;
   const LinkTraffic &traffic() const { return this->Traffic; }
   const Tcp::endpoint &address() const { return this->Address; }
   const std::string &node() const { return this->Node; }
@@ -89,7 +97,11 @@
   struct PendingCall {
     ReplyHandler Handler;
     bool IsIdempotent = false;
+    /// A reply whose body is arriving.
+    std::optional<proto::CallReply> Partial = std::nullopt;
+    MonoTime LastPartAt = {};
   };
+  using PendingMap = std::map<std::uint64_t, PendingCall>;
 
   asio::awaitable<void> connectLoop();
   asio::awaitable<bool> connectOnce();
@@ -98,6 +110,14 @@
   void handle(proto::LinkFrame Frame);
   void send(const proto::LinkFrame &Frame);
   void countFrame(const proto::LinkFrame &Frame);
+  void handleReply(proto::CallReply Reply);
+  void handleBodyPart(const proto::ReplyBodyPart &Part);
+  /// Removes a pending call and returns it.
+  PendingCall take(PendingMap::iterator Position);
+  /// Cancels a call whose reply can't be completed, and replies UNKNOWN.
+  void giveUpReply(PendingMap::iterator Position, const std::string &Reason);
+  /// Gives up the replies whose next part doesn't arrive.
+  void expirePartialReplies(MonoTime Now);
   /// Gives up the idempotent calls after the peer has been silent, and closes
   /// the connection if no other calls are pending.
   void handleSilence();
@@ -112,7 +132,9 @@
   ConfigurationHandler OnConfiguration;
   ConnectHandler OnConnected;
   std::shared_ptr<FrameChannel> Channel;
-  std::map<std::uint64_t, PendingCall> PendingCalls;
+  PendingMap PendingCalls;
+  /// Length of the bodies that are arriving.
+  std::size_t PartialBytes = 0;
   std::uint64_t NextId = 1;
   asio::steady_timer ReconnectTimer;
   asio::steady_timer ProbeTimer;
--- a/testing/platform/small_mesh.cc
+++ b/testing/platform/small_mesh.cc
@@ -128,7 +128,8 @@
       {"retry_budget_extra", 60},
       {"exposure_share", 0.1},
       {"exposure_extra", 50},
-      {"memory_mb", this->MemoryMegabytes}};
+      {"memory_mb", this->MemoryMegabytes},
+      {"link_mbps", this->LinkMbps}};
   std::ofstream(SettingsPath) << SettingsJson.dump(2);
   Node.Sidecar.reset();
   Node.Sidecar = std::make_unique<Process>(
--- a/testing/platform/small_mesh.h
+++ b/testing/platform/small_mesh.h
@@ -69,6 +69,9 @@
   /// Sets the memory of the hosts of nodes that are started from now on.
   void setMemory(double Megabytes) { this->MemoryMegabytes = Megabytes; }
 
+  /// Sets the bandwidth of the links of nodes that are started from now on.
+  void setLinkMbps(double Mbps) { this->LinkMbps = Mbps; }
+
   /// Starts the node's process; kills the one that runs, if any.
   void startNode(TestNode &Node);
 
@@ -105,6 +108,8 @@
   StoreStandIn Store;
   std::string Directory;
   double MemoryMegabytes = 256;
+  /// 0 if the settings state none.
+  double LinkMbps = 0;
   std::vector<std::unique_ptr<TestNode>> Nodes;
 };
 
