traffic, daemon: placement counts the link of the upstream's host

Cause: placement saw only the wait for a slot, so downloads went to hosts with free slots whose links were full, or crossed a thin link although an upstream on the caller's own host needs none.

Change: replies carry when the link will have sent what is expected there (LoadReport.link_wait_us). A rejection because of the link alone doesn't mark a data centre as busy for other calls.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -330,6 +330,13 @@
   return Available[Offer->Index];
 }
 
+std::size_t CallRouter::expectedResponseBytes(const RoutedCall &Call) const {
+  const auto Found = this->ResponseBytes.find(Call.Route->name());
+  return Found == this->ResponseBytes.end()
+             ? 0
+             : static_cast<std::size_t>(Found->second);
+}
+
 PlacementGoal CallRouter::placementGoal(const RoutedCall &Call) const {
   PlacementGoal Goal;
   Goal.Objective = Call.Objective;
@@ -337,12 +344,9 @@
   Goal.MeanProcessingTime = Call.MeanProcessingTime;
   Goal.ProcessingTimeDeviation =
       Call.UpperProcessingTime - Call.MeanProcessingTime;
-  const auto ResponseBytes = this->ResponseBytes.find(Call.Route->name());
+  Goal.AnswerBytes = this->expectedResponseBytes(Call);
   Goal.TransferBytes = internal::FrameOverheadBytes +
-                       Call.Request->Message.body().size() +
-                       (ResponseBytes == this->ResponseBytes.end()
-                            ? 0
-                            : static_cast<std::size_t>(ResponseBytes->second));
+                       Call.Request->Message.body().size() + Goal.AnswerBytes;
   return Goal;
 }
 
@@ -476,6 +480,7 @@
     Target.View.recordLoad(
         Reply.load().running(), Reply.load().waiting(), Reply.load().slots(),
         std::chrono::microseconds(Reply.load().wait_us()), Now);
+    Target.View.recordLinkBacklog(Micros(Reply.load().link_wait_us()), Now);
     Target.View.recordFleetFailureRate(Reply.load().failed_permille() / 1000.0,
                                        Now);
     // A node that has restarted doesn't know the limit until a call has
@@ -536,8 +541,14 @@
   }
   Call.Placement.recordBusy(
       {Target.Entry.node(), Target.Entry.data_centre(), Target.View},
-      Micros(Reply.load().wait_us()));
-  if (!Target.View.isLocal())
+      Micros(Reply.load().wait_us()) +
+          Target.View.linkDelay(
+              {this->expectedResponseBytes(Call), Call.MeanProcessingTime},
+              Now));
+  // A link that is full for large answers takes small ones.
+  const bool IsLinkBusy =
+      Reply.load().link_wait_us() > 0 && Reply.load().wait_us() == 0;
+  if (!Target.View.isLocal() && !IsLinkBusy)
     this->serviceState(Call.Service)
         .RemoteBusyUntil[Target.Entry.data_centre()] =
         Now + internal::RemoteBusyBackoff;
--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -147,6 +147,8 @@
   /// longest time that the call may wait there.
   std::shared_ptr<RouteTarget> nextTarget(RoutedCall &Call, Micros *MaxWait);
   PlacementGoal placementGoal(const RoutedCall &Call) const;
+  /// Returns the mean size of the responses of the call's route.
+  std::size_t expectedResponseBytes(const RoutedCall &Call) const;
   /// Returns a request that only asks whether the call would be admitted; it
   /// carries neither headers nor body.
   proto::CallRequest admissionCheckRequest(const RoutedCall &Call,
--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -114,9 +114,6 @@
 /// process's memory.
 constexpr double MaxLinkMemoryShare = 1.0 / 8;
 
-/// Bytes a second of one megabit a second.
-constexpr double BytesPerMegabit = 1e6 / 8;
-
 /// Memory that is assumed if the settings state none.
 constexpr double DefaultMemoryMegabytes = 256;
 
@@ -226,7 +223,7 @@
              Setup.Writer),
       Transmitter(std::make_shared<LinkTransmitter>(
           Setup.Context, this->NodeMetrics,
-          Setup.Settings.link_mbps() * internal::BytesPerMegabit,
+          Setup.Settings.link_mbps() * BytesPerMegabit,
           internal::memoryShare(Setup.Settings, internal::MaxLinkMemoryShare))),
       WatchTimer(Setup.Context) {
   proto::NodeEntry OwnEntry;
--- a/persimmonquay/daemon/target_table.cc
+++ b/persimmonquay/daemon/target_table.cc
@@ -4,6 +4,7 @@
 #include "persimmonquay/daemon/peer_link.h"
 #include "persimmonquay/daemon/routed_call.h"
 #include "persimmonquay/fleet/node_directory.h"
+#include "persimmonquay/traffic/link_schedule.h"
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -91,6 +92,9 @@
       Updated->View =
           UpstreamView(Entry->data_centre() == this->LocalDataCentre,
                        Entry->upstream().slots());
+    // No link lies between this node and the upstream on its own host.
+    Updated->View.setLinkRate(
+        IsLocalNode ? 0 : Entry->link_mbps() * BytesPerMegabit);
     Updated->Incarnation = incarnationId(Entry->upstream());
     if (!IsLocalNode && IsSameNode)
       Updated->Link = Found->second->Link;
--- a/persimmonquay/traffic/call_placement.cc
+++ b/persimmonquay/traffic/call_placement.cc
@@ -135,7 +135,8 @@
   const double TransferLoss = std::min(static_cast<double>(Goal.TransferBytes) /
                                            internal::TransferBytesPerCall,
                                        internal::MaxTransferLoss);
-  for (const Candidate &Next : rankUpstreams(Views, Tiebreakers, Now)) {
+  const LinkNeed Need{Goal.AnswerBytes, Goal.MeanProcessingTime};
+  for (const Candidate &Next : rankUpstreams(Views, Tiebreakers, Now, Need)) {
     const std::size_t Index = Indices[Next.Index];
     if (Next.Local || this->NoLocalUpstream) {
       if (!Local && this->LocalOffers < internal::MaxLocalOffers)
@@ -164,7 +165,8 @@
 
   double OtherLoss = 1;
   if (Local)
-    OtherLoss = LossAt(*Local, Targets[*Local].View.expectedWait(Now));
+    OtherLoss = LossAt(*Local, Targets[*Local].View.expectedWait(Now) +
+                                   Targets[*Local].View.linkDelay(Need, Now));
   else if (Queue)
     OtherLoss = LossAt(*Queue, QueueWait);
   if (Remote && RemoteLoss + internal::MinCrossingGain < OtherLoss) {
--- a/persimmonquay/traffic/call_placement.h
+++ b/persimmonquay/traffic/call_placement.h
@@ -41,6 +41,8 @@
   Micros ProcessingTimeDeviation{0};
   /// Bytes that a call to another data centre transfers in both directions.
   std::size_t TransferBytes = 0;
+  /// Expected size of the answer.
+  std::size_t AnswerBytes = 0;
 };
 
 /// An upstream to which a call may be offered. The referenced objects must
--- a/persimmonquay/traffic/link_schedule.h
+++ b/persimmonquay/traffic/link_schedule.h
@@ -17,6 +17,9 @@
 
 namespace persimmonquay {
 
+/// Bytes a second in one megabit a second.
+inline constexpr double BytesPerMegabit = 1e6 / 8;
+
 /// Something that waits to be sent over the link.
 struct LinkTransfer {
   std::uint64_t Id = 0;
--- a/persimmonquay/traffic/link_schedule_test.cc
+++ b/persimmonquay/traffic/link_schedule_test.cc
@@ -1,6 +1,8 @@
 // Replays load on a link that carries less than the answers of its host.
+#include "persimmonquay/traffic/call_placement.h"
 #include "persimmonquay/traffic/link_admission.h"
 #include "persimmonquay/traffic/link_schedule.h"
+#include "persimmonquay/traffic/upstream_ranking.h"
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <map>
@@ -227,4 +229,58 @@
         "the answer could not leave before the deadline");
 }
 
+TEST_CASE("large answers go where the link has room, small ones don't care") {
+  UpstreamView Thin(true, 9);
+  UpstreamView Wide(true, 9);
+  UpstreamView OwnHost(true, 9);
+  Thin.setLinkRate(LinkRate);
+  Wide.setLinkRate(200 * BytesPerMegabit);
+  for (UpstreamView *View : {&Thin, &Wide, &OwnHost})
+    for (int Call = 0; Call < 30; ++Call)
+      View->recordResult(false, WorkTime, Start);
+  const LinkNeed Large{DownloadBytes, WorkTime};
+  const LinkNeed Small{500, WorkTime};
+  const auto Best = [&](const LinkNeed &Need, MonoTime Now) {
+    return rankUpstreams({&Thin, &Wide, &OwnHost}, {0, 0, 0}, Now, Need)[0]
+        .Index;
+  };
+  CHECK(Best(Large, Start) == 2);
+  CHECK(Best(Small, Start) == 0);
+  // The link of a host that has the answer to no other call yet.
+  CHECK(Thin.linkDelay(Large, Start) > Millis(40));
+  CHECK(Thin.linkDelay(Large, Start) < Millis(45));
+  CHECK(Wide.linkDelay(Large, Start) < Millis(5));
+  CHECK(OwnHost.linkDelay(Large, Start) == Micros{0});
+  Wide.recordLinkBacklog(Millis(300), Start);
+  OwnHost.recordLinkBacklog(Millis(300), Start);
+  CHECK(Wide.linkDelay(Large, Start) > Millis(190));
+  CHECK(Wide.linkDelay(Large, Start + Millis(100)) < Millis(100));
+  CHECK(Wide.linkDelay(Small, Start) == Micros{0});
+  CHECK(OwnHost.linkDelay(Large, Start) == Micros{0});
+}
+
+TEST_CASE("a download is offered to the host whose link has room") {
+  const std::string Here = "here";
+  const std::string Names[] = {"a", "b"};
+  UpstreamView Views[] = {{true, 9}, {true, 9}};
+  for (UpstreamView &View : Views)
+    View.setLinkRate(LinkRate);
+  Views[0].recordLinkBacklog(Millis(600), Start);
+  const std::vector<PlacementTarget> Targets = {{Names[0], Here, Views[0]},
+                                                {Names[1], Here, Views[1]}};
+  PlacementGoal Goal;
+  Goal.Objective = Start + Millis(1200);
+  Goal.Deadline = Start + Millis(2000);
+  Goal.MeanProcessingTime = WorkTime;
+  Goal.AnswerBytes = DownloadBytes;
+  for (int I = 0; I < 20; ++I) {
+    CallPlacement Placement;
+    const auto Offer = Placement.nextOffer(
+        Goal, Targets, [](const std::string &) { return false; },
+        [I] { return I / 20.0; }, Start);
+    REQUIRE(Offer);
+    CHECK(Offer->Index == 1);
+  }
+}
+
 } // namespace persimmonquay
--- a/persimmonquay/traffic/upstream_ranking.cc
+++ b/persimmonquay/traffic/upstream_ranking.cc
@@ -1,5 +1,6 @@
 #include "persimmonquay/traffic/upstream_ranking.h"
 
+#include "persimmonquay/traffic/link_admission.h"
 #include <algorithm>
 #include <cmath>
 
@@ -110,6 +111,20 @@
          this->ProcessingTime.mean() * UnreportedCalls / this->Slots;
 }
 
+Micros UpstreamView::linkDelay(const LinkNeed &Need, MonoTime Now) const {
+  if (this->LinkBytesPerSecond <= 0 || Need.AnswerBytes <= MaxSmallAnswerBytes)
+    return Micros{0};
+  // The link goes on sending until the answer is ready.
+  const auto Age =
+      std::chrono::duration_cast<Micros>(Now - this->LinkReportedAt);
+  const Micros Wait = Age > internal::MaxReportAge
+                          ? Micros{0}
+                          : this->LinkBacklog - Age - Need.ProcessingTime;
+  return std::max(Wait, Micros{0}) +
+         std::chrono::duration_cast<Micros>(std::chrono::duration<double>(
+             static_cast<double>(Need.AnswerBytes) / this->LinkBytesPerSecond));
+}
+
 std::optional<std::chrono::microseconds>
 UpstreamView::measuredProcessingTime() const {
   if (!this->ProcessingTime.isMeasured())
@@ -138,7 +153,8 @@
 
 std::vector<Candidate>
 rankUpstreams(const std::vector<const UpstreamView *> &Views,
-              const std::vector<double> &Tiebreak, MonoTime Now) {
+              const std::vector<double> &Tiebreak, MonoTime Now,
+              const LinkNeed &Need) {
   std::optional<std::chrono::microseconds> Fastest;
   for (const UpstreamView *View : Views)
     if (const auto ProcessingTime = View->measuredProcessingTime();
@@ -147,12 +163,15 @@
   std::vector<Candidate> Result;
   Result.reserve(Views.size());
   for (std::size_t I = 0; I < Views.size(); ++I) {
-    const std::chrono::microseconds Cost = Views[I]->expectedCost(
-        Now, Fastest.value_or(internal::AssumedProcessingTime));
+    const Micros LinkDelay = Views[I]->linkDelay(Need, Now);
+    const std::chrono::microseconds Cost =
+        LinkDelay + Views[I]->expectedCost(
+                        Now, Fastest.value_or(internal::AssumedProcessingTime));
     const auto TiebreakCost =
         std::chrono::duration_cast<std::chrono::microseconds>(
             Cost * (internal::TiebreakFactor * Tiebreak[I]));
-    Result.push_back({I, Views[I]->isLocal(), Views[I]->expectedWait(Now),
+    Result.push_back({I, Views[I]->isLocal(),
+                      Views[I]->expectedWait(Now) + LinkDelay,
                       Cost + TiebreakCost});
   }
   std::sort(Result.begin(), Result.end(),
--- a/persimmonquay/traffic/upstream_ranking.h
+++ b/persimmonquay/traffic/upstream_ranking.h
@@ -5,6 +5,9 @@
 //    response wins, not round robin.
 //  - Upstreams that fail some of their calls while they look healthy: failures
 //    add to the expected time.
+//  - Upstreams whose large answers wait for the link of their host, or have
+//  none
+//    to pass.
 //  - Upstreams that were just added.
 //  - Upstreams that are gone although this node has not heard of it, for
 //    instance because another host has taken over the address of theirs.
@@ -23,6 +26,14 @@
 
 namespace persimmonquay {
 
+/// What a call needs of the link of the upstream's host.
+struct LinkNeed {
+  /// Expected size of the answer.
+  std::size_t AnswerBytes = 0;
+  /// Expected time until the upstream has the answer.
+  Micros ProcessingTime{0};
+};
+
 /// One node's view of the load, processing time and failure rate of one
 /// upstream. Updated by every reply.
 class UpstreamView {
@@ -40,6 +51,16 @@
   void recordLoad(std::uint32_t Running, std::uint32_t Waiting,
                   std::uint32_t SlotCount, std::chrono::microseconds Wait,
                   MonoTime Now);
+  /// Sets the bandwidth of the link between the upstream's host and this node;
+  /// 0 if it is unknown or there is none between them.
+  void setLinkRate(double BytesPerSecond) {
+    this->LinkBytesPerSecond = BytesPerSecond;
+  }
+  /// Records how long that link takes for the answers that are expected there.
+  void recordLinkBacklog(Micros Backlog, MonoTime Now) {
+    this->LinkBacklog = Backlog;
+    this->LinkReportedAt = Now;
+  }
   /// Records the result of a call that reached the upstream.
   /// `CallProcessingTime` is ignored if the call failed. `TypicalTime` is the
   /// mean processing time of such calls over all upstreams, or 0 if unknown.
@@ -71,6 +92,10 @@
   /// Returns the expected time that a call would wait for a slot there.
   std::chrono::microseconds expectedWait(MonoTime Now) const;
 
+  /// Returns the expected time that a large answer waits for the link and takes
+  /// on it. Small answers pass the others.
+  Micros linkDelay(const LinkNeed &Need, MonoTime Now) const;
+
   /// Returns the mean measured processing time, or none if no call has
   /// succeeded there yet.
   std::optional<std::chrono::microseconds> measuredProcessingTime() const;
@@ -101,6 +126,9 @@
   std::uint32_t InFlightAtReport = 0;
   std::chrono::microseconds ReportedWait{0};
   MonoTime ReportedAt;
+  double LinkBytesPerSecond = 0;
+  Micros LinkBacklog{0};
+  MonoTime LinkReportedAt;
   ProcessingTimeEstimate ProcessingTime{std::chrono::milliseconds(100)};
   /// Moving average over the latest calls.
   double Slowness = 1;
@@ -133,7 +161,7 @@
 /// upstreams so that nodes don't all choose the same one.
 std::vector<Candidate> rankUpstreams(const std::vector<const UpstreamView *> &,
                                      const std::vector<double> &Tiebreak,
-                                     MonoTime Now);
+                                     MonoTime Now, const LinkNeed &Need = {});
 
 } // namespace persimmonquay
 
