--- a/persimmonquay/daemon/link_transmitter.cc
+++ b/persimmonquay/daemon/link_transmitter.cc
@@ -7,7 +7,6 @@
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace persimmonquay {
 namespace internal {
@@ -32,7 +31,7 @@
 LinkTransmitter::LinkTransmitter(asio::io_context &IoContext,
                                  Metrics &NodeCounters, double BytesPerSecond,
                                  std::size_t MaxWaitingBytes)
-    : Context(IoContext), Counters(NodeCounters), MaxBytes(MaxWaitingBytes),
+    : Counters(NodeCounters), MaxBytes(MaxWaitingBytes),
       Schedule(BytesPerSecond), Admission(this->Schedule, MaxWaitingBytes / 2),
       Timer(IoContext) {}
 
--- a/persimmonquay/daemon/link_transmitter.h
+++ b/persimmonquay/daemon/link_transmitter.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace persimmonquay {
@@ -120,7 +121,6 @@
   /// Logs when much begins to wait, and when that ends.
   void logBacklog(MonoTime Now);
 
-  asio::io_context &Context;
   Metrics &Counters;
   std::size_t MaxBytes;
   LinkSchedule Schedule;
--- a/persimmonquay/daemon/link_transmitter_test.cc
+++ b/persimmonquay/daemon/link_transmitter_test.cc
@@ -147,7 +147,7 @@
   for (int I = 0; I < 6; ++I) {
     const proto::CallReply &Reply = Fixture.Replies[Calls[I]];
     CHECK(Reply.outcome() == proto::ANSWERED);
-    CHECK(Reply.body() == bodyOf(90000 + I));
+    CHECK((Reply.body() == bodyOf(90000 + I)));
     CHECK_FALSE(Reply.body_follows());
   }
   CHECK(Fixture.Transmitter->isIdle());
@@ -169,7 +169,7 @@
     Fixture.answer(Fixture.submit(), 90000, 1, TakesParts);
   CHECK(Fixture.Transmitter->isIdle());
   Fixture.runUntil([&] { return Fixture.Replies.size() == 4; });
-  CHECK(Fixture.Replies[4].body() == bodyOf(90000));
+  CHECK((Fixture.Replies[4].body() == bodyOf(90000)));
   CHECK(Fixture.Transmitter->statistics().WholeAnswers == 4);
   CHECK(Fixture.Transmitter->statistics().PartedAnswers == 0);
 }
--- a/testing/platform/paced_link.cc
+++ b/testing/platform/paced_link.cc
@@ -19,7 +19,7 @@
 
 } // namespace
 
-PacedLink::PacedLink(std::string Address, std::uint16_t PortNumber,
+PacedLink::PacedLink(const std::string &Address, std::uint16_t PortNumber,
                      double BytesPerSecond)
     : Port(PortNumber), Rate(BytesPerSecond) {
   this->Listener.bind(Poco::Net::SocketAddress(Address, this->Port), true);
--- a/testing/platform/paced_link.h
+++ b/testing/platform/paced_link.h
@@ -19,7 +19,7 @@
 /// connections together, with small windows.
 class PacedLink {
 public:
-  PacedLink(std::string Address, std::uint16_t PortNumber,
+  PacedLink(const std::string &Address, std::uint16_t PortNumber,
             double BytesPerSecond);
   ~PacedLink();
 
--- a/testing/platform/thin_link_test.cc
+++ b/testing/platform/thin_link_test.cc
@@ -1,5 +1,6 @@
 // Tests of the program as processes on loopback: the link of the upstream's
 // host carries less than its answers.
+#include "persimmonquay/traffic/link_schedule.h"
 #include "testing/platform/paced_link.h"
 #include "testing/platform/small_mesh.h"
 #include <absl/strings/str_cat.h>
@@ -29,7 +30,8 @@
   TestNode &Caller = Mesh.add("orders");
   Mesh.setLinkMbps(LinkMbps);
   TestNode &Server = Mesh.add("gallery", "v1", "here", "127.0.0.2");
-  const PacedLink Link(Server.Address, Server.LinkPort, LinkMbps * 1e6 / 8);
+  const PacedLink Link(Server.Address, Server.LinkPort,
+                       LinkMbps * BytesPerMegabit);
   Mesh.publish(5, "gallery", 2000, {"/packs/"});
   REQUIRE(Mesh.waitUntilReady());
   REQUIRE(Mesh.heartbeat(Server, "ready", SlotCount) == 200);
@@ -92,7 +94,31 @@
   // Downloads that were started were delivered, and the link was used.
   CHECK(Lost.load() == 0);
   CHECK(Answered * DownloadBytes >
-        0.6 * LinkMbps * 1e6 / 8 * LoadTime.count() / 1000);
+        0.6 * LinkMbps * BytesPerMegabit * LoadTime.count() / 1000);
+}
+
+// The caller got 504 in place of an answer that was on its way.
+TEST_CASE("an answer that is arriving at the deadline is delivered") {
+  constexpr double SlowLinkMbps = 1;
+  SmallMesh Mesh;
+  TestNode &Caller = Mesh.add("orders");
+  Mesh.setLinkMbps(SlowLinkMbps);
+  TestNode &Server = Mesh.add("gallery", "v1", "here", "127.0.0.2");
+  const PacedLink Link(Server.Address, Server.LinkPort,
+                       SlowLinkMbps * BytesPerMegabit);
+  Mesh.publish(5, "gallery", 400, {"/packs/"});
+  REQUIRE(Mesh.waitUntilReady());
+  const std::string Download(DownloadBytes, 'd');
+  Server.Upstream->setHandler([&](const ReceivedRequest &Request) {
+    return responseTo(Request, 200, Download);
+  });
+  const MonoTime Start = monoNow();
+  const CallResponse Response =
+      Mesh.call(Caller, {.Target = "/packs/1", .DeadlineMs = 5000});
+  CHECK(Response.Status == 200);
+  CHECK((Response.Body == Download));
+  // 90 kB at 1 Mbit/s.
+  CHECK(monoNow() - Start > Millis(500));
 }
 
 } // namespace persimmonquay::testing
