--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -31,6 +31,10 @@
 /// notice.
 constexpr Millis DeadlineGrace{60};
 
+/// A reply that has begun to arrive is awaited past that time until nothing of
+/// it has arrived for this long: replies of more important calls may pass it.
+constexpr Millis ReplyStallTimeout{1000};
+
 /// Processing time that is assumed for a route without measurements.
 constexpr Micros DefaultProcessingTime{50000};
 
@@ -487,6 +491,13 @@
   Available.erase(FirstClosed, Available.end());
 }
 
+std::size_t CallRouter::expectedResponseBytes(const RoutedCall &Call) const {
+  const auto Found = this->ResponseBytes.find(Call.Route->name());
+  return Found == this->ResponseBytes.end()
+             ? 0
+             : static_cast<std::size_t>(Found->second);
+}
+
 PlacementGoal CallRouter::placementGoal(const RoutedCall &Call) const {
   PlacementGoal Goal;
   Goal.Objective = Call.Objective;
@@ -494,12 +505,9 @@
   Goal.MeanProcessingTime = Call.MeanProcessingTime;
   Goal.ProcessingTimeDeviation =
       Call.UpperProcessingTime - Call.MeanProcessingTime;
-  const auto ResponseBytes = this->ResponseBytes.find(Call.Route->name());
+  Goal.AnswerBytes = this->expectedResponseBytes(Call);
   Goal.TransferBytes = internal::FrameOverheadBytes +
-                       Call.Request->Message.body().size() +
-                       (ResponseBytes == this->ResponseBytes.end()
-                            ? 0
-                            : static_cast<std::size_t>(ResponseBytes->second));
+                       Call.Request->Message.body().size() + Goal.AnswerBytes;
   return Goal;
 }
 
@@ -620,8 +628,13 @@
   while (!Call->Reply && !Call->Request->CallerDisconnected) {
     Call->Request->WakeTimer.expires_at(Expiry);
     const auto [Error] = co_await Call->Request->WakeTimer.async_wait(NoThrow);
-    if (!Error)
+    if (Error)
+      continue;
+    const std::optional<MonoTime> Progress =
+        Link ? Link->lastReplyProgress(Ticket) : std::nullopt;
+    if (!Progress || monoNow() - *Progress >= internal::ReplyStallTimeout)
       break;
+    Expiry = *Progress + internal::ReplyStallTimeout;
   }
   Call->WithdrawOffer = nullptr;
   Target.View.recordEnded();
@@ -643,6 +656,7 @@
                            Reply.load().slots(),
                            std::chrono::microseconds(Reply.load().wait_us()),
                            Now, Reply.load().work_percent());
+    Target.View.recordLinkBacklog(Micros(Reply.load().link_wait_us()), Now);
     Target.View.recordFleetFailureRate(Reply.load().failed_permille() / 1000.0,
                                        Now);
     // A node that has restarted doesn't know the limit until a call has
@@ -707,9 +721,15 @@
   Call.Placement.recordBusy(
       {Target.Entry.node(), Target.Entry.data_centre(), Target.View},
       Micros(Reply.load().wait_us()) +
-          Target.View.speed().extraTime(Call.MeanProcessingTime, Now));
-  // The other upstreams of the data centre may be warm.
-  if (!Target.View.isLocal() && Reply.reason() != ColdReason)
+          Target.View.speed().extraTime(Call.MeanProcessingTime, Now) +
+          Target.View.linkDelay(
+              {this->expectedResponseBytes(Call), Call.MeanProcessingTime},
+              Now));
+  // The other upstreams of the data centre may be warm, and a link that is full
+  // for large answers takes small ones.
+  const bool IsLinkBusy =
+      Reply.load().link_wait_us() > 0 && Reply.load().wait_us() == 0;
+  if (!Target.View.isLocal() && Reply.reason() != ColdReason && !IsLinkBusy)
     this->serviceState(Call.Service)
         .RemoteBusyUntil[Target.Entry.data_centre()] =
         Now + internal::RemoteBusyBackoff;
--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -173,8 +173,9 @@
   asio::awaitable<bool> offer(const std::shared_ptr<RoutedCall> &Call,
                               RouteTarget &Target,
                               std::chrono::microseconds MaxWait);
-  /// Sends `Request` and waits for the reply until `Expiry` or until the caller
-  /// disconnects. Without a reply, the request is cancelled.
+  /// Sends `Request` and waits for the reply until `Expiry`, or longer while it
+  /// is arriving, or until the caller disconnects. Without a reply, the request
+  /// is cancelled.
   asio::awaitable<void> exchange(const std::shared_ptr<RoutedCall> &Call,
                                  RouteTarget &Target,
                                  proto::CallRequest Request, MonoTime Expiry);
@@ -186,6 +187,8 @@
   void removeClosed(std::vector<std::shared_ptr<RouteTarget>> &Available,
                     RoutedCall &Call);
   PlacementGoal placementGoal(const RoutedCall &Call) const;
+  /// Returns the mean size of the responses of the call's route.
+  std::size_t expectedResponseBytes(const RoutedCall &Call) const;
   /// Returns a request that only asks whether the call would be admitted; it
   /// carries neither headers nor body.
   proto::CallRequest admissionCheckRequest(const RoutedCall &Call,
--- a/testing/platform/small_mesh.h
+++ b/testing/platform/small_mesh.h
@@ -82,6 +82,8 @@
     this->ColdSeconds = Seconds;
     this->ColdCallsPerSecond = CallsPerSecond;
   }
+  /// Sets the bandwidth of the links of nodes that are started from now on.
+  void setLinkMbps(double Mbps) { this->LinkMbps = Mbps; }
 
   /// Starts the node's process; kills the one that runs, if any.
   void startNode(TestNode &Node);
@@ -129,6 +131,8 @@
   std::map<std::string, std::vector<std::string>> Accounts;
   double ColdSeconds = 0;
   double ColdCallsPerSecond = 0;
+  /// 0 if the settings state none.
+  double LinkMbps = 0;
   std::vector<std::unique_ptr<TestNode>> Nodes;
 };
 
