accounts, daemon: calls wait for late grants instead of getting 503

Cause: where grants take longer than 0.1 s, for instance over a full link, the keepers count as silent, and calls were refused with 503 though their grants were under way.

Change: while nobody has said that there is no room, a call waits for a late grant as long as that could be spent (0.35 s). A caller that disconnects while it waits spends nothing.

--- a/persimmonquay/accounts/quota_balances.cc
+++ b/persimmonquay/accounts/quota_balances.cc
@@ -133,12 +133,16 @@
     return Result;
   }
   MonoTime RoomAt = MonoTime::max();
+  bool MayBeLate = false;
   for (const KeeperView &Keeper : Each.Keepers) {
     if (Keeper.Asked > 0 || this->canAsk(Keeper, Now))
       return Result;
     if (Now < Keeper.ShortUntil)
       RoomAt = std::min(RoomAt, Keeper.ShortUntil);
+    MayBeLate |= Keeper.AskId != 0 && Now - Keeper.AskedAt < GrantLifetime;
   }
+  if (RoomAt == MonoTime::max() && MayBeLate)
+    return Result;
   --Each.Waiting;
   if (RoomAt == MonoTime::max()) {
     Result.Verdict = QuotaDecision::Kind::Unavailable;
@@ -260,8 +264,10 @@
     for (KeeperView &Keeper : Each.Keepers) {
       if (Keeper.Node != Ask.Node)
         continue;
-      if (Keeper.AskId == Grant.id())
+      if (Keeper.AskId == Grant.id()) {
         Keeper.Asked = 0;
+        Keeper.AskId = 0;
+      }
       Keeper.SilenceBackoff = Millis(0);
       Keeper.SilentUntil =
           IsStated ? MonoTime() : Now + internal::NotReadyBackoff;
--- a/persimmonquay/accounts/quota_balances.h
+++ b/persimmonquay/accounts/quota_balances.h
@@ -27,7 +27,7 @@
 inline constexpr Millis AskTimeout{100};
 
 /// How long a call waits for grants at most.
-inline constexpr Millis MaxGrantWait{250};
+inline constexpr Millis MaxGrantWait = GrantLifetime;
 
 /// A call of an account's quota that has been spent.
 struct QuotaCharge {
@@ -121,6 +121,7 @@
     /// Number of calls asked for, 0 if no ask is under way, and when.
     std::uint32_t Asked = 0;
     MonoTime AskedAt;
+    /// Id of the last ask, 0 if it has been replied to.
     std::uint64_t AskId = 0;
     /// The keeper has too little, or doesn't reply, until then.
     MonoTime ShortUntil;
--- a/persimmonquay/accounts/quota_test.cc
+++ b/persimmonquay/accounts/quota_test.cc
@@ -366,6 +366,18 @@
         0.95 * 13 * Limit.RatePerSecond);
 }
 
+TEST_CASE("calls wait for grants of busy nodes") {
+  const QuotaLimit Limit{50, 50};
+  QuotaMesh Mesh(1, 20, Limit, 6);
+  // Links between hosts are full, so that a grant takes up to 0.28 s.
+  Mesh.Messages.Late = 1;
+  Mesh.Messages.LongestDelay = 0.14;
+  for (std::size_t I = 0; I < Mesh.Nodes.size(); ++I)
+    Mesh.callers(I, 0.6 * Limit.RatePerSecond / 20, 40);
+  Mesh.run(40);
+  CHECK(Mesh.admittedShare() > 0.95);
+}
+
 TEST_CASE("a keeper that doesn't reply costs its share only") {
   const QuotaLimit Limit{100, 100};
   QuotaMesh Mesh(4, 5, Limit, 4);
--- a/persimmonquay/daemon/quota_service.cc
+++ b/persimmonquay/daemon/quota_service.cc
@@ -129,10 +129,13 @@
       if (Found->second.empty())
         this->Waiters.erase(Found);
     }
+    if (Request->CallerDisconnected)
+      continue;
     Result = this->Balances.resume(Name, monoNow());
     this->sendAsks();
   }
-  this->countDecision(Account, Result);
+  if (!Request->CallerDisconnected)
+    this->countDecision(Account, Result);
   co_return Result;
 }
 
