accounts: a keeper that gets an account back starts empty again

Cause: a node that was the keeper before another one came and left found its old bucket, refilled in between, though the other had granted the same calls.

Change: the bucket is emptied. The search for the keeper runs once for each set of nodes instead of at each ask.

--- a/persimmonquay/accounts/quota_keeper.cc
+++ b/persimmonquay/accounts/quota_keeper.cc
@@ -90,13 +90,22 @@
   const auto Limit = this->AccountLimits.find(Account);
   if (Limit == this->AccountLimits.end())
     return nullptr;
+  const auto Known = this->Buckets.find(Account);
+  if (Known != this->Buckets.end() &&
+      Known->second.PlacementGeneration == this->Placement.generation()) {
+    this->refill(Known->second, Now);
+    return &Known->second;
+  }
   const MonoTime Start = this->Placement.grantsFrom(Account, *this->StartedAt);
   if (Start > Now)
     return nullptr;
   const auto [Found, IsNew] = this->Buckets.try_emplace(Account);
   Bucket &Result = Found->second;
-  if (IsNew) {
+  Result.PlacementGeneration = this->Placement.generation();
+  if (IsNew || Start > Result.Start) {
     Result.Limit = Limit->second;
+    Result.Calls = 0;
+    Result.Start = Start;
     Result.UpdatedAt = Start;
     Result.OwnDemandAt = Now;
     Result.NextAskAt = Now;
--- a/persimmonquay/accounts/quota_keeper.h
+++ b/persimmonquay/accounts/quota_keeper.h
@@ -65,6 +65,11 @@
     QuotaLimit Limit;
     double Calls = 0;
     MonoTime UpdatedAt;
+    /// When the bucket was empty; later again if another node was the keeper in
+    /// between.
+    MonoTime Start;
+    /// Members for which this node is known to be the keeper.
+    std::uint64_t PlacementGeneration = 0;
     /// Calls a second for which the own data centre has asked lately.
     double OwnDemand = 0;
     MonoTime OwnDemandAt;
--- a/persimmonquay/accounts/quota_placement.cc
+++ b/persimmonquay/accounts/quota_placement.cc
@@ -53,14 +53,17 @@
 const QuotaPlacement::Member &
 QuotaPlacement::keeperAmong(const std::vector<Member> &Nodes,
                             AccountHash Account) {
-  return *std::max_element(
-      Nodes.begin(), Nodes.end(),
-      [Account](const Member &Left, const Member &Right) {
-        return std::pair(internal::keeperWeight(Left.Hash, Account),
-                         Left.Node) <
-               std::pair(internal::keeperWeight(Right.Hash, Account),
-                         Right.Node);
-      });
+  const Member *Best = nullptr;
+  std::uint64_t BestWeight = 0;
+  for (const Member &Each : Nodes) {
+    const std::uint64_t Weight = internal::keeperWeight(Each.Hash, Account);
+    if (Best != nullptr && (Weight < BestWeight ||
+                            (Weight == BestWeight && Each.Node < Best->Node)))
+      continue;
+    Best = &Each;
+    BestWeight = Weight;
+  }
+  return *Best;
 }
 
 std::vector<std::string> QuotaPlacement::keepers(AccountHash Account) const {
--- a/persimmonquay/accounts/quota_test.cc
+++ b/persimmonquay/accounts/quota_test.cc
@@ -526,6 +526,17 @@
   CHECK(Keeper.handle(Ask, Now).granted(0) == 0);
   CHECK(Keeper.handle(Ask, Before.grantsFrom(Account, at(0))).granted(0) == 0);
   CHECK(Keeper.handle(Ask, Now + Millis(60000)).granted(0) == 5);
+
+  // Another keeper comes and leaves again.
+  const QuotaPlacement::Members Without = Members;
+  for (int I = 3; Before.keepers(Account).front() == "n-0"; ++I) {
+    Members["dc-0"].push_back("n-" + std::to_string(I));
+    Before.setMembers(Members, Now + Millis(70000));
+  }
+  CHECK(Keeper.handle(Ask, Now + Millis(75000)).granted(0) == 0);
+  Before.setMembers(Without, Now + Millis(80000));
+  CHECK(Keeper.handle(Ask, Before.grantsFrom(Account, at(0)) + Millis(100))
+            .granted(0) == 1);
 }
 
 TEST_CASE("odd asks and grants") {
--- a/persimmonquay/daemon/quota_service.cc
+++ b/persimmonquay/daemon/quota_service.cc
@@ -47,7 +47,9 @@
     logLine(LogLevel::Info, "quotas of accounts changed",
             {{"version", std::to_string(Configuration.version())},
              {"accounts", std::to_string(Next.size())},
-             {"changed", std::to_string(Changed)}});
+             {"changed", std::to_string(Changed)},
+             {"keeping", this->isKeeping() ? "yes" : "no"},
+             {"share", std::to_string(this->Placement.ownShare())}});
   this->Keeper.setLimits(std::move(Next), monoNow());
 }
 
