--- a/persimmonquay/accounts/quota_balances.cc
+++ b/persimmonquay/accounts/quota_balances.cc
@@ -15,11 +15,11 @@
 
 /// Demand is held in advance for this long. Calls that are not spent are lost,
 /// so it is well below their lifetime.
-constexpr Seconds HoldTime{0.2};
+constexpr Seconds HoldTime{0.15};
 
 /// Calls are held in advance only where at least this many are expected within
 /// the hold time; with fewer, too many would expire.
-constexpr double MinHeldCalls = 3;
+constexpr double MinHeldCalls = 4;
 
 /// Time for which a keeper that hasn't replied is not asked again; doubled with
 /// each further ask without a reply, because calls wait for it.
@@ -133,12 +133,16 @@
     return Result;
   }
   MonoTime RoomAt = MonoTime::max();
+  bool MayBeLate = false;
   for (const KeeperView &Keeper : Each.Keepers) {
     if (Keeper.Asked > 0 || this->canAsk(Keeper, Now))
       return Result;
     if (Now < Keeper.ShortUntil)
       RoomAt = std::min(RoomAt, Keeper.ShortUntil);
+    MayBeLate |= Keeper.AskId != 0 && Now - Keeper.AskedAt < GrantLifetime;
   }
+  if (RoomAt == MonoTime::max() && MayBeLate)
+    return Result;
   --Each.Waiting;
   if (RoomAt == MonoTime::max()) {
     Result.Verdict = QuotaDecision::Kind::Unavailable;
@@ -260,8 +264,10 @@
     for (KeeperView &Keeper : Each.Keepers) {
       if (Keeper.Node != Ask.Node)
         continue;
-      if (Keeper.AskId == Grant.id())
+      if (Keeper.AskId == Grant.id()) {
         Keeper.Asked = 0;
+        Keeper.AskId = 0;
+      }
       Keeper.SilenceBackoff = Millis(0);
       Keeper.SilentUntil =
           IsStated ? MonoTime() : Now + internal::NotReadyBackoff;
--- a/persimmonquay/accounts/quota_test.cc
+++ b/persimmonquay/accounts/quota_test.cc
@@ -335,6 +335,17 @@
       }
 }
 
+TEST_CASE("calls held in advance hardly expire") {
+  // Some 10 calls a second at each node, a little beyond the quota in all.
+  const QuotaLimit Limit{663, 663};
+  QuotaMesh Mesh(4, 18, Limit, 1);
+  for (std::size_t I = 0; I < Mesh.Nodes.size(); ++I)
+    Mesh.callers(I, 1.2 * Limit.RatePerSecond / 72, 15);
+  Mesh.run(15);
+  CHECK(static_cast<double>(Mesh.spentBetween(5, 15)) >
+        0.97 * 10 * Limit.RatePerSecond);
+}
+
 TEST_CASE("callers that move to one node get the allowance within a second") {
   const QuotaLimit Limit{200, 200};
   QuotaMesh Mesh(4, 5, Limit, 2);
@@ -366,6 +377,18 @@
         0.95 * 13 * Limit.RatePerSecond);
 }
 
+TEST_CASE("calls wait for grants of busy nodes") {
+  const QuotaLimit Limit{50, 50};
+  QuotaMesh Mesh(1, 20, Limit, 6);
+  // Links between hosts are full, so that a grant takes up to 0.28 s.
+  Mesh.Messages.Late = 1;
+  Mesh.Messages.LongestDelay = 0.14;
+  for (std::size_t I = 0; I < Mesh.Nodes.size(); ++I)
+    Mesh.callers(I, 0.6 * Limit.RatePerSecond / 20, 40);
+  Mesh.run(40);
+  CHECK(Mesh.admittedShare() > 0.95);
+}
+
 TEST_CASE("a keeper that doesn't reply costs its share only") {
   const QuotaLimit Limit{100, 100};
   QuotaMesh Mesh(4, 5, Limit, 4);
@@ -514,6 +537,17 @@
   CHECK(Keeper.handle(Ask, Now).granted(0) == 0);
   CHECK(Keeper.handle(Ask, Before.grantsFrom(Account, at(0))).granted(0) == 0);
   CHECK(Keeper.handle(Ask, Now + Millis(60000)).granted(0) == 5);
+
+  // Another keeper comes and leaves again.
+  const QuotaPlacement::Members Without = Members;
+  for (int I = 3; Before.keepers(Account).front() == "n-0"; ++I) {
+    Members["dc-0"].push_back("n-" + std::to_string(I));
+    Before.setMembers(Members, Now + Millis(70000));
+  }
+  CHECK(Keeper.handle(Ask, Now + Millis(75000)).granted(0) == 0);
+  Before.setMembers(Without, Now + Millis(80000));
+  CHECK(Keeper.handle(Ask, Before.grantsFrom(Account, at(0)) + Millis(100))
+            .granted(0) == 1);
 }
 
 TEST_CASE("odd asks and grants") {
--- a/persimmonquay/daemon/quota_service.cc
+++ b/persimmonquay/daemon/quota_service.cc
@@ -47,7 +47,9 @@
     logLine(LogLevel::Info, "quotas of accounts changed",
             {{"version", std::to_string(Configuration.version())},
              {"accounts", std::to_string(Next.size())},
-             {"changed", std::to_string(Changed)}});
+             {"changed", std::to_string(Changed)},
+             {"keeping", this->isKeeping() ? "yes" : "no"},
+             {"share", std::to_string(this->Placement.ownShare())}});
   this->Keeper.setLimits(std::move(Next), monoNow());
 }
 
@@ -129,10 +131,13 @@
       if (Found->second.empty())
         this->Waiters.erase(Found);
     }
+    if (Request->CallerDisconnected)
+      continue;
     Result = this->Balances.resume(Name, monoNow());
     this->sendAsks();
   }
-  this->countDecision(Account, Result);
+  if (!Request->CallerDisconnected)
+    this->countDecision(Account, Result);
   co_return Result;
 }
 
