daemon: a link that is slower than its setting fills no kernel buffers

Cause: the pace follows `link_mbps` only. When others use the link or it is squeezed, the kernel's buffers fill, and short answers wait behind them.

Change: no piece is sent while the connections that got some lately have more than 75 ms of the link unacknowledged, or one of them more than 40 ms, as far as the kernel tells. Frames to a peer that is gone count for 500 ms at most.

--- a/persimmonquay/daemon/frame_channel.cc
+++ b/persimmonquay/daemon/frame_channel.cc
@@ -149,6 +149,10 @@
 
 bool FrameChannel::isClosedByPeer() { return hasPeerClosed(this->Socket); }
 
+std::size_t FrameChannel::kernelBytes() {
+  return unacknowledgedBytes(this->Socket).value_or(0);
+}
+
 void FrameChannel::close() {
   ErrorCode IgnoredError;
   this->FrameTimer.cancel();
--- a/persimmonquay/daemon/frame_channel.h
+++ b/persimmonquay/daemon/frame_channel.h
@@ -52,6 +52,10 @@
   /// Returns whether the peer has closed the connection.
   bool isClosedByPeer();
 
+  /// Returns what the kernel holds until the peer has acknowledged it, as far
+  /// as the kernel tells.
+  std::size_t kernelBytes();
+
   MonoTime lastReceived() const { return this->LastReceived; }
   std::size_t queuedBytes() const {
     return this->WriteQueue.size() + this->WriteBuffer.size();
--- a/persimmonquay/daemon/link_transmitter.cc
+++ b/persimmonquay/daemon/link_transmitter.cc
@@ -15,9 +15,19 @@
 /// kernel, so that short frames to the same node pass.
 constexpr std::size_t MaxQueuedPieceBytes = 16384;
 
-/// Interval at which overdue transfers are looked for while no connection takes
-/// bytes.
-constexpr Millis BlockedCheckInterval{100};
+/// What the kernel may hold until it is acknowledged, as time of the link: more
+/// than it is given at once, and a round trip. Less for one connection, so that
+/// a peer that doesn't read can't stop the others.
+constexpr double MaxKernelSeconds = 0.075;
+constexpr double MaxConnectionSeconds = 0.04;
+constexpr double MinKernelBytes = 65536;
+constexpr double MinConnectionBytes = 32768;
+
+/// Time after its last piece for which a connection is assumed to use the link.
+constexpr Millis PieceMemory{100};
+
+/// Interval at which the kernel is asked again when it holds too much.
+constexpr Millis KernelCheckInterval{5};
 
 /// Backlogs at which the link counts as behind, and as having caught up.
 constexpr Millis BehindBacklog{200};
@@ -32,13 +42,19 @@
                                  Metrics &NodeCounters, double BytesPerSecond,
                                  std::size_t MaxWaitingBytes)
     : Counters(NodeCounters), MaxBytes(MaxWaitingBytes),
+      MaxKernelBytes(static_cast<std::size_t>(
+          std::max(BytesPerSecond * internal::MaxKernelSeconds,
+                   internal::MinKernelBytes))),
+      MaxConnectionBytes(static_cast<std::size_t>(
+          std::max(BytesPerSecond * internal::MaxConnectionSeconds,
+                   internal::MinConnectionBytes))),
       Schedule(BytesPerSecond), Admission(this->Schedule, MaxWaitingBytes / 2),
       Timer(IoContext) {}
 
 LinkTransmitter::ConnectionId
 LinkTransmitter::add(const std::shared_ptr<FrameChannel> &Channel) {
   const ConnectionId Id = this->NextId++;
-  this->Connections[Id] = Channel;
+  this->Connections[Id] = {Channel, {}};
   Channel->setDrainHandler([WeakSelf = this->weak_from_this()] {
     const std::shared_ptr<LinkTransmitter> Self = WeakSelf.lock();
     if (Self && !Self->isIdle())
@@ -61,7 +77,7 @@
                            const proto::LinkFrame &Frame) {
   const auto Found = this->Connections.find(Connection);
   const std::shared_ptr<FrameChannel> Channel =
-      Found == this->Connections.end() ? nullptr : Found->second.lock();
+      Found == this->Connections.end() ? nullptr : Found->second.Channel.lock();
   if (!Channel)
     return;
   this->Schedule.recordSent(Frame.ByteSizeLong(), monoNow());
@@ -166,19 +182,35 @@
   const MonoTime Now = monoNow();
   for (const std::uint64_t Id : this->Schedule.expire(Now))
     this->drop(Id);
-  const auto IsReady = [this](ConnectionId Connection) {
-    const std::shared_ptr<FrameChannel> Channel =
-        this->Connections.at(Connection).lock();
-    return Channel && Channel->isOpen() &&
-           Channel->queuedBytes() < internal::MaxQueuedPieceBytes;
-  };
-  while (const std::optional<LinkPiece> Piece =
-             this->Schedule.takeNext(IsReady, Now))
+  const auto IsReady = [this](ConnectionId Id) { return this->takesPiece(Id); };
+  while (!this->isKernelFull(Now)) {
+    const std::optional<LinkPiece> Piece =
+        this->Schedule.takeNext(IsReady, Now);
+    if (!Piece)
+      break;
     this->sendPiece(*Piece);
+  }
   this->armTimer(Now);
   this->logBacklog(Now);
 }
 
+bool LinkTransmitter::isKernelFull(MonoTime Now) const {
+  std::size_t Bytes = 0;
+  for (const auto &[Id, Open] : this->Connections)
+    if (Now - Open.LastPieceAt < internal::PieceMemory)
+      if (const std::shared_ptr<FrameChannel> Channel = Open.Channel.lock())
+        Bytes += Channel->kernelBytes();
+  return Bytes > this->MaxKernelBytes;
+}
+
+bool LinkTransmitter::takesPiece(ConnectionId Id) const {
+  const std::shared_ptr<FrameChannel> Channel =
+      this->Connections.at(Id).Channel.lock();
+  return Channel && Channel->isOpen() &&
+         Channel->queuedBytes() < internal::MaxQueuedPieceBytes &&
+         Channel->kernelBytes() < this->MaxConnectionBytes;
+}
+
 void LinkTransmitter::sendPiece(const LinkPiece &Piece) {
   Transfer &Sent = this->Transfers.at(Piece.Id);
   proto::LinkFrame Frame;
@@ -188,8 +220,9 @@
   Part.set_last(Piece.IsLast);
   Sent.SentBytes += Piece.Bytes;
   // The schedule has counted the bytes already.
-  if (const std::shared_ptr<FrameChannel> Channel =
-          this->Connections.at(Sent.Connection).lock())
+  Connection &Open = this->Connections.at(Sent.Connection);
+  Open.LastPieceAt = monoNow();
+  if (const std::shared_ptr<FrameChannel> Channel = Open.Channel.lock())
     Channel->send(Frame);
   if (!Piece.IsLast)
     return;
@@ -205,9 +238,9 @@
     this->Timer.cancel();
     return;
   }
-  // No connection takes bytes; one that does so again calls its drain handler.
+  // The kernel or all connections hold too much.
   if (*Next <= Now)
-    Next = Now + internal::BlockedCheckInterval;
+    Next = Now + internal::KernelCheckInterval;
   this->Timer.expires_at(*Next);
   this->Timer.async_wait(
       [WeakSelf = this->weak_from_this()](const ErrorCode &Error) {
@@ -243,8 +276,8 @@
   LinkStatistics Result = this->Totals;
   Result.WaitingAnswerBytes = this->Schedule.waitingBytes();
   Result.Backlog = this->Schedule.backlog(monoNow());
-  for (const auto &[Id, WeakChannel] : this->Connections) {
-    const std::shared_ptr<FrameChannel> Channel = WeakChannel.lock();
+  for (const auto &[Id, Open] : this->Connections) {
+    const std::shared_ptr<FrameChannel> Channel = Open.Channel.lock();
     if (!Channel)
       continue;
     const std::size_t Bytes =
--- a/persimmonquay/daemon/link_transmitter.h
+++ b/persimmonquay/daemon/link_transmitter.h
@@ -55,6 +55,9 @@
 /// What waits is bounded. Beyond that, replies lose their body and become
 /// UNKNOWN.
 ///
+/// Handles a link that is slower than is known: the kernel's buffers fill, and
+/// pieces wait until the peers have acknowledged enough.
+///
 /// Confined to one thread.
 class LinkTransmitter : public std::enable_shared_from_this<LinkTransmitter> {
 public:
@@ -112,8 +115,17 @@
     MonoTime ReadyAt;
   };
 
+  struct Connection {
+    std::weak_ptr<FrameChannel> Channel;
+    MonoTime LastPieceAt;
+  };
+
   /// Gives the kernel what it may get now.
   void transmit();
+  /// Returns whether the connections that were sent pieces lately have more
+  /// bytes on their way than the link explains.
+  bool isKernelFull(MonoTime Now) const;
+  bool takesPiece(ConnectionId Id) const;
   void sendPiece(const LinkPiece &Piece);
   /// Drops a transfer; nothing more of it is sent.
   void drop(std::uint64_t TransferId);
@@ -123,9 +135,12 @@
 
   Metrics &Counters;
   std::size_t MaxBytes;
+  /// Bounds on what the kernel holds; see `isKernelFull()`, `takesPiece()`.
+  std::size_t MaxKernelBytes;
+  std::size_t MaxConnectionBytes;
   LinkSchedule Schedule;
   LinkAdmission Admission;
-  std::map<ConnectionId, std::weak_ptr<FrameChannel>> Connections;
+  std::map<ConnectionId, Connection> Connections;
   std::map<std::uint64_t, Transfer> Transfers;
   std::uint64_t NextId = 1;
   asio::steady_timer Timer;
--- a/persimmonquay/daemon/link_transmitter_test.cc
+++ b/persimmonquay/daemon/link_transmitter_test.cc
@@ -226,6 +226,42 @@
   CHECK(Fixture.Order.size() == 1);
 }
 
+TEST_CASE("a link slower than is known fills no large buffers") {
+  asio::io_context Context;
+  Metrics Counters;
+  const auto Transmitter =
+      std::make_shared<LinkTransmitter>(Context, Counters, ThinLink, 8U << 20U);
+  Tcp::acceptor Acceptor(Context,
+                         Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  Tcp::socket Peer(Context, Tcp::v4());
+  Peer.set_option(asio::socket_base::receive_buffer_size(16384));
+  Peer.connect(Acceptor.local_endpoint());
+  const auto Channel =
+      std::make_shared<FrameChannel>(Acceptor.accept(), FrameLimits{});
+  const LinkTransmitter::ConnectionId Connection = Transmitter->add(Channel);
+  for (std::uint64_t Id = 1; Id <= 20; ++Id) {
+    proto::CallReply Reply;
+    Reply.set_id(Id);
+    Reply.set_body(bodyOf(90000));
+    Transmitter->sendReply(Connection, std::move(Reply),
+                           {1, monoNow() + std::chrono::seconds(10), true});
+  }
+  // The peer reads nothing. The known rate would send 1 MB.
+  Context.run_for(Millis(500));
+  const std::size_t Before = Transmitter->statistics().WaitingAnswerBytes;
+  CHECK(Before > 20 * 90000 - 200000);
+  // It reads again, and more follows.
+  std::string Buffer(65536, ' ');
+  const MonoTime End = monoNow() + Millis(300);
+  while (monoNow() < End) {
+    if (Peer.available() > 0)
+      Peer.read_some(asio::buffer(Buffer));
+    Context.run_for(Millis(2));
+  }
+  CHECK(Transmitter->statistics().WaitingAnswerBytes < Before - 100000);
+  Channel->close();
+}
+
 TEST_CASE("answers that wait are bounded") {
   LinkFixture Fixture(ThinLink, {.MaxBytes = 1U << 20U}, 300000);
   for (int I = 0; I < 5; ++I)
--- a/persimmonquay/daemon/sockets.cc
+++ b/persimmonquay/daemon/sockets.cc
@@ -3,9 +3,11 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <string>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace persimmonquay {
@@ -69,6 +71,13 @@
   return ::poll(&Poll, 1, 0) > 0 && (Poll.revents & Closed) != 0;
 }
 
+std::optional<std::size_t> unacknowledgedBytes(Tcp::socket &Socket) {
+  int Bytes = 0;
+  if (::ioctl(Socket.native_handle(), SIOCOUTQ, &Bytes) != 0 || Bytes < 0)
+    return std::nullopt;
+  return static_cast<std::size_t>(Bytes);
+}
+
 absl::StatusOr<Tcp::acceptor> listenOn(asio::io_context &Context,
                                        const Tcp::endpoint &Address) {
   Tcp::acceptor Acceptor(Context);
--- a/persimmonquay/daemon/sockets.h
+++ b/persimmonquay/daemon/sockets.h
@@ -6,6 +6,8 @@
 #include "persimmonquay/base/time.h"
 #include "persimmonquay/daemon/asio.h"
 #include <absl/status/statusor.h>
+#include <cstddef>
+#include <optional>
 #include <string_view>
 
 namespace persimmonquay {
@@ -27,6 +29,10 @@
 /// that it sent before are still unread.
 bool hasPeerClosed(Tcp::socket &Socket);
 
+/// Returns the bytes that the kernel holds of what was written to a connection,
+/// until the peer has acknowledged them; none if the kernel doesn't tell.
+std::optional<std::size_t> unacknowledgedBytes(Tcp::socket &Socket);
+
 /// Opens a listening socket. Returns Unavailable if the address cannot be used.
 absl::StatusOr<Tcp::acceptor> listenOn(asio::io_context &Context,
                                        const Tcp::endpoint &Address);
--- a/persimmonquay/traffic/link_schedule.cc
+++ b/persimmonquay/traffic/link_schedule.cc
@@ -14,6 +14,10 @@
 /// timer, so that the link doesn't idle, and less than callers notice.
 constexpr Millis MaxKernelTime{20};
 
+/// Bound on what the kernel is taken to hold: frames to a peer that is gone
+/// never use the link.
+constexpr Millis MaxKernelBacklog{500};
+
 /// Length of a piece, as time of the link, and bounds on it in bytes. A shorter
 /// piece costs more system calls.
 constexpr double PieceSeconds = 0.006;
@@ -86,7 +90,9 @@
 }
 
 void LinkSchedule::recordSent(std::size_t Bytes, MonoTime Now) {
-  this->KernelBusyUntil = this->kernelIdleTime(Now) + this->transferTime(Bytes);
+  this->KernelBusyUntil =
+      std::min(this->kernelIdleTime(Now) + this->transferTime(Bytes),
+               Now + internal::MaxKernelBacklog);
 }
 
 std::vector<std::uint64_t> LinkSchedule::expire(MonoTime Now) {
