traffic, daemon: callers without room at cold upstreams return when they are warm

A caller was told when a cold upstream has room for its node, also when more callers were told so than there were openings. They took each other's room, were refused again, and gave up shortly before the upstreams were warm. Each opening is told once now; other callers return after the cold time.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -10,6 +10,7 @@
 #include "persimmonquay/daemon/routed_call.h"
 #include "persimmonquay/daemon/upstream_gate.h"
 #include "persimmonquay/rollout/rollout_table.h"
+#include "persimmonquay/traffic/cold_returns.h"
 #include "persimmonquay/traffic/cold_start_limiter.h"
 #include "persimmonquay/traffic/request_fingerprint.h"
 #include <absl/strings/numbers.h>
@@ -84,6 +85,7 @@
   RetryBudget Budget;
   /// Time until which a busy data centre is not offered calls, by data centre.
   std::map<std::string, MonoTime> RemoteBusyUntil;
+  ColdReturns Returns;
 };
 
 CallRouter::CallRouter(CallRouterDependencies RouterDependencies,
@@ -334,15 +336,15 @@
   const auto FirstClosed =
       std::partition(Available.begin(), Available.end(),
                      [Now](const std::shared_ptr<RouteTarget> &Target) {
-                       return Target->View.opensAt() <= Now;
+                       return Target->View.closed().OpensAt <= Now;
                      });
   if (FirstClosed == Available.begin() && !Available.empty()) {
-    // Any of the times at which there is room, so that not all callers return
-    // at the first one.
-    const std::size_t Chosen = static_cast<std::size_t>(
-        this->random() * static_cast<double>(Available.size()));
-    Call.RetryAfter =
-        std::chrono::ceil<Millis>(Available[Chosen]->View.opensAt() - Now);
+    std::vector<ClosedUpstream> Closed;
+    for (const std::shared_ptr<RouteTarget> &Target : Available)
+      Closed.push_back(Target->View.closed());
+    Call.RetryAfter = std::chrono::ceil<Millis>(
+        this->serviceState(Call.Service)
+            .Returns.schedule(Closed, this->random(), Now));
     Call.LastReason = std::string(ColdReason);
   }
   Available.erase(FirstClosed, Available.end());
@@ -549,7 +551,8 @@
     return;
   }
   if (Reply.reason() == ColdReason)
-    Target.View.recordClosed(Now + Millis(Reply.retry_after_ms()));
+    Target.View.recordClosed({Now + Millis(Reply.retry_after_ms()),
+                              Now + Millis(Reply.load().cold_ms())});
   Call.Placement.recordBusy(
       {Target.Entry.node(), Target.Entry.data_centre(), Target.View},
       Micros(Reply.load().wait_us()));
--- a/persimmonquay/traffic/upstream_ranking.h
+++ b/persimmonquay/traffic/upstream_ranking.h
@@ -16,6 +16,7 @@
 #define PERSIMMONQUAY_TRAFFIC_UPSTREAM_RANKING_H
 
 #include "persimmonquay/base/time.h"
+#include "persimmonquay/traffic/cold_returns.h"
 #include "persimmonquay/traffic/processing_time_estimate.h"
 #include <cstddef>
 #include <cstdint>
@@ -52,8 +53,8 @@
   /// has no such upstream, or the upstream can't be used at present.
   void recordUnavailable(MonoTime Now);
   /// Records that the upstream is cold and takes no call of this node before
-  /// `Opening`.
-  void recordClosed(MonoTime Opening) { this->OpensAt = Opening; }
+  /// `State.OpensAt`.
+  void recordClosed(const ClosedUpstream &State) { this->Closed = State; }
   /// Records the fraction of all nodes' calls that failed at the upstream.
   void recordFleetFailureRate(double Rate, MonoTime Now) {
     this->FleetFailureRate = Rate;
@@ -71,9 +72,10 @@
     return Now < this->UnavailableUntil;
   }
 
-  /// Returns when the upstream takes calls of this node, as it last told. Each
+  /// Returns when the upstream takes calls of this node and until when it is
+  /// cold, as it last told; may be in the past. Each
   /// node is told another time, so that few offers are refused.
-  MonoTime opensAt() const { return this->OpensAt; }
+  const ClosedUpstream &closed() const { return this->Closed; }
 
   std::uint32_t inFlight() const { return this->InFlight; }
 
@@ -121,7 +123,7 @@
   MonoTime LastResultAt;
   MonoTime FleetRateAt;
   MonoTime UnavailableUntil;
-  MonoTime OpensAt;
+  ClosedUpstream Closed;
   /// Length of the next such time.
   std::chrono::milliseconds UnavailableBackoff{0};
 };
--- a/testing/model/mesh_model.cc
+++ b/testing/model/mesh_model.cc
@@ -97,6 +97,7 @@
   std::vector<UpstreamView> Views;
   std::map<std::string, ProcessingTimeEstimate> ProcessingTimes;
   std::map<std::pair<std::string, std::size_t>, MonoTime> BusyUntil;
+  std::map<std::string, ColdReturns> Returns;
 };
 
 /// The gate next to an upstream.
@@ -306,12 +307,16 @@
     const std::vector<UpstreamView> &Views = this->Nodes[Call.DataCentre].Views;
     const auto FirstClosed = std::stable_partition(
         Candidates.begin(), Candidates.end(),
-        [&](std::size_t I) { return Views[I].opensAt() <= this->Now; });
+        [&](std::size_t I) { return Views[I].closed().OpensAt <= this->Now; });
     if (FirstClosed == Candidates.begin() && !Candidates.empty()) {
-      const std::size_t Chosen = std::uniform_int_distribution<std::size_t>(
-          0, Candidates.size() - 1)(this->ChoiceRandom);
-      Call.RetryAfter = std::chrono::duration_cast<Micros>(
-          Views[Candidates[Chosen]].opensAt() - this->Now);
+      std::vector<ClosedUpstream> Closed;
+      for (const std::size_t I : Candidates)
+        Closed.push_back(Views[I].closed());
+      const double Random =
+          std::uniform_real_distribution<double>(0, 1)(this->ChoiceRandom);
+      Call.RetryAfter =
+          this->Nodes[Call.DataCentre].Returns[Call.Kind->Service].schedule(
+              Closed, Random, this->Now);
     }
     Candidates.erase(FirstClosed, Candidates.end());
   }
@@ -511,10 +516,12 @@
     const bool IsCold = Rejection.Reason == ColdReason;
     this->Events.at(this->Now + (IsLocal ? LocalDelay : RemoteDelay),
                     [this, Call, Target, DataCentre, IsLocal, Wait, IsCold,
-                     Delay = Rejection.RetryAfter] {
+                     Delay = Rejection.RetryAfter,
+                     ColdTime = At.ColdStart.remaining(this->Now)] {
                       CallerNode &Node = this->Nodes[Call->DataCentre];
                       if (IsCold)
-                        Node.Views[Target].recordClosed(this->Now + Delay);
+                        Node.Views[Target].recordClosed(
+                            {this->Now + Delay, this->Now + ColdTime});
                       this->recordLoad(Node, Target);
                       Node.Views[Target].recordEnded();
                       if (!IsLocal && !IsCold) {
--- a/testing/model/mesh_model_test.cc
+++ b/testing/model/mesh_model_test.cc
@@ -218,5 +218,18 @@
   CHECK(Result.AnsweredInSecond[11] < 2 * 14 * 24);
 }
 
+TEST_CASE("callers for whom cold upstreams have no room return when they are "
+          "warm") {
+  ModelSite Site = coldSite(2);
+  Site.Duration = 2 * Site.ColdDuration;
+  Site.Kinds[0].Deadline = Millis(6000);
+  Site.Kinds[0].CallerRetries = 1;
+  const Sum Expected(Site, ModelPlacement::Expected);
+  // Half of the calls in half of the run find no room. Callers wait for a third
+  // of their time at most, so that not all of them can wait long enough.
+  const double Refused = Expected.Total.Offered / 4.0;
+  CHECK(Expected.Total.Rejected < 0.75 * Refused);
+}
+
 } // namespace
 } // namespace persimmonquay::testing
