traffic: marks of nested calls count for routes that are often marked

Where callers have no keys, a nested call is known only by its deadline, which an ordinary call has by chance as well. In a shortage it would go before more important calls, and be served late rather than be rejected. The gate heeds the marks of a route only if 4 in 10 of its calls are marked.

--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -235,7 +235,7 @@
           this->Speed.scale(Expected.mean(), monoNow()),
           this->Speed.scale(Expected.upper(), monoNow()),
           hashBytes(Request.route(), Request.priority()),
-          Request.nested()};
+          this->Nested.isNested(hashBytes(Request.route()), Request.nested())};
 }
 
 proto::CallReply
@@ -271,6 +271,8 @@
   NewCall->Request = std::move(Request);
   const std::uint64_t Ticket = NewCall->Ticket;
   this->Calls[Ticket] = NewCall;
+  this->Nested.record(hashBytes(NewCall->Request.route()),
+                      NewCall->Request.nested());
   this->admit(NewCall, Millis(NewCall->Request.max_wait_ms()));
   return Ticket;
 }
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -12,6 +12,7 @@
 #include "persimmonquay/traffic/admission_queue.h"
 #include "persimmonquay/traffic/crash_ledger.h"
 #include "persimmonquay/traffic/host_speed.h"
+#include "persimmonquay/traffic/nested_kinds.h"
 #include "persimmonquay/traffic/processing_time_estimate.h"
 #include "persimmonquay/traffic/response_memory.h"
 #include "persimmonquay/traffic/unattended_calls.h"
@@ -252,6 +253,8 @@
   std::optional<std::uint64_t> ActiveSuspect;
   /// The suspects that wait for its end.
   std::deque<std::uint64_t> HeldSuspects;
+  /// By route.
+  NestedKinds Nested;
   AdmissionQueue Queue{0};
   /// Whether there was a shortage when a call last came or ended.
   bool HasShortage = false;
--- a/persimmonquay/traffic/shortage_tally_test.cc
+++ b/persimmonquay/traffic/shortage_tally_test.cc
@@ -1,6 +1,7 @@
 #include "persimmonquay/traffic/shortage_tally.h"
 
 #include "persimmonquay/traffic/admission_queue.h"
+#include "persimmonquay/traffic/nested_kinds.h"
 #include <doctest/doctest.h>
 
 namespace persimmonquay {
@@ -121,6 +122,22 @@
   CHECK(firstOf(fullQueue(true, Now), Important, Nested, Now) == 11);
 }
 
+TEST_CASE("marks of a kind that is seldom marked don't count") {
+  NestedKinds Kinds;
+  CHECK_FALSE(Kinds.isNested(1, true));
+  for (int I = 0; I < 200; ++I) {
+    Kinds.record(1, I % 5 == 0);
+    Kinds.record(2, I % 10 != 0);
+  }
+  CHECK_FALSE(Kinds.isNested(1, true));
+  CHECK(Kinds.isNested(2, true));
+  CHECK_FALSE(Kinds.isNested(2, false));
+  for (std::uint64_t Kind = 3; Kind < 5000; ++Kind)
+    Kinds.record(Kind, true);
+  CHECK(Kinds.isNested(3, true));
+  CHECK_FALSE(Kinds.isNested(4999, true));
+}
+
 TEST_CASE("a nested call is not rejected for being late") {
   const MonoTime Now = monoNow();
   AdmissionQueue Queue = fullQueue(false, Now);
