daemon: an upstream that is down stays cold as long as it refuses connections

Its cold time was assumed from the first refusal only. If it was down for longer, the calls that waited for its return were all sent at once.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -340,6 +340,7 @@
                      });
   if (FirstClosed == Available.begin() && !Available.empty()) {
     std::vector<ClosedUpstream> Closed;
+    Closed.reserve(Available.size());
     for (const std::shared_ptr<RouteTarget> &Target : Available)
       Closed.push_back(Target->View.closed());
     Call.RetryAfter = std::chrono::ceil<Millis>(
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -655,12 +655,15 @@
 }
 
 void UpstreamGate::recordCrash() {
-  if (this->IsUpstreamDown || !this->Upstream || this->Upstream->draining())
+  if (!this->Upstream || this->Upstream->draining())
+    return;
+  // As long as it is down, so that calls are limited when it is back.
+  this->assumeCold("it refuses connections");
+  if (this->IsUpstreamDown)
     return;
   this->IsUpstreamDown = true;
   this->HasRecordedCrash = true;
   this->UnreachableUntil = monoNow() + internal::UnreachableBackoff;
-  this->assumeCold("it refuses connections");
   std::vector<SentCall> Running;
   for (const auto &[Ticket, ActiveCall] : this->Calls)
     if (std::exchange(ActiveCall->MayBeRunning, false))
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -3,6 +3,7 @@
 #include "persimmonquay/daemon/upstream_gate.h"
 #include "persimmonquay/traffic/request_fingerprint.h"
 #include <absl/strings/str_cat.h>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
@@ -95,8 +96,6 @@
 
   /// Starts the upstream again after its acceptor has been closed.
   void listenAgain(const Tcp::endpoint &Address) {
-    // Without anything to wait for, it has stopped.
-    this->Context.restart();
     this->Acceptor = Tcp::acceptor(this->Context, Address);
     asio::co_spawn(
         this->Context, [this] { return this->accept(); }, asio::detached);
@@ -109,6 +108,9 @@
   }
 
   asio::io_context Context;
+  /// Keeps the context from stopping while there is nothing to wait for.
+  asio::executor_work_guard<asio::io_context::executor_type> Work{
+      asio::make_work_guard(Context)};
   Tcp::acceptor Acceptor;
   Metrics Counters;
   CrashLedger Crashes;
@@ -776,5 +778,26 @@
   CHECK(Fixture.Gate.isColdAssumed());
 }
 
+// The calls that were sent as it came back counted as sent to a warm one.
+TEST_CASE("an upstream that was down for long gets no burst when it is back") {
+  GateFixture Fixture(100);
+  Fixture.Gate.setColdLimits(ColdTime, ColdRate);
+  Fixture.Gate.recordColdRemaining(Millis(0), "heartbeat");
+  REQUIRE(Fixture.call("before").outcome() == proto::ANSWERED);
+  const Tcp::endpoint Address = Fixture.Acceptor.local_endpoint();
+  Fixture.Acceptor.close();
+  Fixture.closeConnections();
+  submitFor(Fixture, ColdTime + Millis(500));
+  const std::size_t ReceivedBefore = Fixture.Received.size();
+  Fixture.listenAgain(Address);
+  // The time after a refusal in which no call is sent.
+  Fixture.runFor(Millis(300));
+  for (int I = 0; I < 60; ++I)
+    Fixture.submit(absl::StrCat("at-once-", I));
+  submitFor(Fixture, Millis(900));
+  CHECK(Fixture.Received.size() > ReceivedBefore + ColdRate / 2);
+  CHECK(Fixture.Received.size() - ReceivedBefore <= 1.5 * ColdRate + 8);
+}
+
 } // namespace
 } // namespace persimmonquay
