--- a/testing/platform/cold_upstreams_test.cc
+++ b/testing/platform/cold_upstreams_test.cc
@@ -194,4 +194,25 @@
   CHECK(Load.WithoutRetryAfter == 0);
 }
 
+TEST_CASE("an upstream whose heartbeats are missing is asked whether it is "
+          "cold") {
+  SmallMesh Mesh;
+  Mesh.setColdStart(3, ColdRate);
+  Mesh.setHeartbeatInterval(1.5);
+  TestNode &Host = Mesh.add("gallery");
+  const std::vector<TestNode *> Others = {&Mesh.add("orders"),
+                                          &Mesh.add("orders")};
+  ColdUpstream Upstream(Host);
+  Mesh.publish(5, "gallery");
+  REQUIRE(Mesh.waitUntilReady());
+  REQUIRE(Mesh.heartbeat(Host) == 200);
+  Upstream.becomeCold(Millis(20000));
+  // Two and a half intervals, and the interval at which the node checks.
+  std::this_thread::sleep_for(Millis(4500));
+  const Callers Load(Mesh, Others);
+  std::this_thread::sleep_for(Millis(1500));
+  CHECK(Upstream.runCount() > 0.7 * ColdRate);
+  CHECK(Upstream.mostInSecond() <= 1.5 * ColdRate + 8);
+}
+
 } // namespace persimmonquay::testing
--- a/testing/platform/odd_entries_test.cc
+++ b/testing/platform/odd_entries_test.cc
@@ -108,6 +108,24 @@
   CHECK(!IsAccepted("capacity_slots", "4294967295"));
 }
 
+TEST_CASE("odd cold times in heartbeats are bounded or refused") {
+  TestNode Node;
+  Node.StartedUnixMs = 1000;
+  const auto ColdTime = [&Node](const std::string &Value) {
+    return platform::decodeHeartbeat(
+        "i-1", heartbeatWith(Node, "cold_remaining_s", Value));
+  };
+  REQUIRE(ColdTime("2.5").ok());
+  CHECK(ColdTime("2.5")->ColdRemaining == Millis(2500));
+  // A time in the past, and a century.
+  REQUIRE(ColdTime("-7").ok());
+  CHECK(ColdTime("-7")->ColdRemaining == Millis(0));
+  REQUIRE(ColdTime("3e9").ok());
+  CHECK(ColdTime("3e9")->ColdRemaining >= std::chrono::minutes(1));
+  CHECK(!ColdTime("null").ok());
+  CHECK(!ColdTime("\"3\"").ok());
+}
+
 // Operators of a similar system saw their processes end again and again.
 TEST_CASE("odd heartbeats neither end a node nor withdraw its upstream") {
   RobustNodes Setup;
--- a/testing/platform/small_mesh.cc
+++ b/testing/platform/small_mesh.cc
@@ -120,7 +120,7 @@
       {"upstream_address", addressOf(Node.Upstream->port())},
       {"service", Node.Service},
       {"store_address", addressOf(this->Store.port())},
-      {"registration_interval_s", 60},
+      {"registration_interval_s", this->HeartbeatSeconds},
       {"grace_period_s", 6},
       {"drain_timeout_s", 2},
       {"retry_budget_ratio", 0.2},
--- a/testing/platform/small_mesh.h
+++ b/testing/platform/small_mesh.h
@@ -71,6 +71,12 @@
   /// Sets the memory of the hosts of nodes that are started from now on.
   void setMemory(double Megabytes) { this->MemoryMegabytes = Megabytes; }
 
+  /// Sets the interval at which nodes that are started from now on expect
+  /// heartbeats.
+  void setHeartbeatInterval(double Seconds) {
+    this->HeartbeatSeconds = Seconds;
+  }
+
   /// Sets how long upstreams are cold after a start and how many calls a second
   /// a cold one takes, in configurations that are published from now on.
   void setColdStart(double Seconds, double CallsPerSecond) {
@@ -114,6 +120,7 @@
   StoreStandIn Store;
   std::string Directory;
   double MemoryMegabytes = 256;
+  double HeartbeatSeconds = 60;
   double ColdSeconds = 0;
   double ColdCallsPerSecond = 0;
   std::vector<std::unique_ptr<TestNode>> Nodes;
