--- a/testing/platform/small_mesh.cc
+++ b/testing/platform/small_mesh.cc
@@ -121,7 +121,7 @@
       {"service", Node.Service},
       {"store_address",
        addressOf(Node.StorePort != 0 ? Node.StorePort : this->Store.port())},
-      {"registration_interval_s", 60},
+      {"registration_interval_s", this->HeartbeatSeconds},
       {"grace_period_s", 6},
       {"drain_timeout_s", 2},
       {"retry_budget_ratio", 0.2},
