traffic, daemon: a wide link rejects no call; fewer system calls on a thin one

Cause: on a wide link, a call with less time left than its route's mean, or a long queue of calls with large answers, was rejected although the link was no bottleneck. The kernel was asked for its bytes before every piece.

The kernel is asked once each time that pieces may be sent.

--- a/persimmonquay/daemon/link_transmitter.cc
+++ b/persimmonquay/daemon/link_transmitter.cc
@@ -183,7 +183,11 @@
   for (const std::uint64_t Id : this->Schedule.expire(Now))
     this->drop(Id);
   const auto IsReady = [this](ConnectionId Id) { return this->takesPiece(Id); };
-  while (!this->isKernelFull(Now)) {
+  // The kernel is asked once, since that takes a system call for each
+  // connection; the schedule bounds what is added until it is asked again.
+  const std::optional<MonoTime> Next = this->Schedule.nextSendTime(Now);
+  const bool MaySend = Next && *Next <= Now && !this->isKernelFull(Now);
+  while (MaySend) {
     const std::optional<LinkPiece> Piece =
         this->Schedule.takeNext(IsReady, Now);
     if (!Piece)
--- a/persimmonquay/traffic/link_admission.cc
+++ b/persimmonquay/traffic/link_admission.cc
@@ -22,6 +22,10 @@
 /// time until its deadline divided by this.
 constexpr int LateLinkWaitDivisor = 16;
 
+/// The link decides about a call if the answer takes at least its processing
+/// time divided by this to leave.
+constexpr int LinkShareDivisor = 4;
+
 /// Minimum retry delay: about the time of one large answer.
 constexpr Micros MinLinkRetryAfter{20000};
 
@@ -77,15 +81,15 @@
   const Micros Transfer =
       this->Schedule.transferTime(static_cast<std::size_t>(Estimate.MeanBytes));
   const Micros SpareTime = TimeLeft - Work - Transfer;
-  if (Wait > SpareTime)
+  if (Wait > SpareTime && Wait + Transfer > Work / internal::LinkShareDivisor)
     return Reject("the answer could not leave before the deadline",
                   std::max(Wait - SpareTime / 2, Micros{0}));
+  if (Wait == Micros{0})
+    return std::nullopt;
   if (this->Schedule.waitingBytes() + ExpectedBytes + Estimate.upperBytes() >
       this->MaxBytes)
     return Reject("the answers that wait take too much memory",
                   this->backlog(Now) / 2);
-  if (Wait == Micros{0})
-    return std::nullopt;
   const Micros Slack =
       std::chrono::duration_cast<Micros>(Call.Objective - Now) -
       Estimate.ProcessingTime.upper() -
--- a/persimmonquay/traffic/link_schedule_test.cc
+++ b/persimmonquay/traffic/link_schedule_test.cc
@@ -184,6 +184,17 @@
   CHECK_FALSE(Admission.whyRejected({"r", 0, Start, Start}, Micros{0}, Start));
 }
 
+TEST_CASE("a wide link is no reason to reject a call") {
+  LinkSchedule Schedule(1000 * BytesPerMegabit);
+  LinkAdmission Admission(Schedule, 1U << 20U);
+  Admission.recordAnswer("r", DownloadBytes, WorkTime);
+  const LinkCall Call{"r", 9, Start + Millis(50), Start + Millis(100)};
+  for (std::uint64_t Id = 1; Id <= 100; ++Id) {
+    CHECK_FALSE(Admission.whyRejected(Call, Micros{0}, Start));
+    Admission.add(Id, Call);
+  }
+}
+
 TEST_CASE("answers of lower priority are no reason to reject a call") {
   LinkSchedule Schedule(LinkRate);
   LinkAdmission Admission(Schedule, 20U << 20U);
