daemon: an unsafe call that has not started in time is answered as not run

A call without a reply by its deadline was cancelled and its caller got 504, also if it had never left the gate's queue or socket; its caller may not repeat it then. The caller's node now withdraws an unsafe call first: the gate rejects it as not run if it has not started, and leaves it alone otherwise. The node waits 100 ms for that, in which a late response is delivered as well.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -28,6 +28,9 @@
 /// notice.
 constexpr Millis DeadlineGrace{60};
 
+/// Time to wait for the reply to a withdrawal; several round trips.
+constexpr Millis WithdrawalTimeout{100};
+
 /// Processing time that is assumed for a route without measurements.
 constexpr Micros DefaultProcessingTime{50000};
 
@@ -438,6 +441,8 @@
     Call->Reply = std::move(Reply);
     Call->Request->WakeTimer.cancel();
   };
+  // The caller of an idempotent call may repeat it in any case.
+  const bool MayWithdraw = !Request.idempotent() && !Request.only_ask();
   Target.View.recordSent();
   const std::shared_ptr<PeerLink> Link = Target.Link;
   const std::uint64_t Ticket =
@@ -449,6 +454,10 @@
     if (!Error)
       break;
   }
+  // A node that stops has no time for it.
+  if (MayWithdraw && !Call->Reply && !Call->Request->CallerDisconnected &&
+      this->ShutdownEnd == MonoTime::max())
+    co_await this->withdraw(Call, Target, Ticket);
   Target.View.recordEnded();
   if (Call->Reply)
     co_return;
@@ -459,6 +468,22 @@
     this->Dependencies.LocalGate.cancel(Ticket);
 }
 
+asio::awaitable<void>
+CallRouter::withdraw(const std::shared_ptr<RoutedCall> &Call,
+                     RouteTarget &Target, std::uint64_t Ticket) {
+  if (Target.Link)
+    Target.Link->withdraw(Ticket);
+  else
+    this->Dependencies.LocalGate.withdraw(Ticket);
+  const MonoTime End = monoNow() + internal::WithdrawalTimeout;
+  while (!Call->Reply && !Call->Request->CallerDisconnected) {
+    Call->Request->WakeTimer.expires_at(End);
+    const auto [Error] = co_await Call->Request->WakeTimer.async_wait(NoThrow);
+    if (!Error)
+      break;
+  }
+}
+
 void CallRouter::recordReply(RoutedCall &Call, RouteTarget &Target,
                              const proto::CallReply &Reply) {
   const MonoTime Now = monoNow();
--- a/persimmonquay/daemon/call_router.h
+++ b/persimmonquay/daemon/call_router.h
@@ -142,6 +142,10 @@
   asio::awaitable<void> exchange(const std::shared_ptr<RoutedCall> &Call,
                                  RouteTarget &Target,
                                  proto::CallRequest Request, MonoTime Expiry);
+  /// Withdraws a request that has had no reply in time, and waits for a short
+  /// while for the reply.
+  asio::awaitable<void> withdraw(const std::shared_ptr<RoutedCall> &Call,
+                                 RouteTarget &Target, std::uint64_t Ticket);
   /// Returns the upstream to offer the call to next, or null, and sets the
   /// longest time that the call may wait there.
   std::shared_ptr<RouteTarget> nextTarget(RoutedCall &Call, Micros *MaxWait);
--- a/persimmonquay/daemon/daemon_test.cc
+++ b/persimmonquay/daemon/daemon_test.cc
@@ -1,10 +1,13 @@
 #include "persimmonquay/daemon/caller_server.h"
+#include "persimmonquay/daemon/link_server.h"
 #include "persimmonquay/daemon/metrics.h"
+#include "persimmonquay/daemon/peer_link.h"
 #include "persimmonquay/daemon/sockets.h"
 #include "persimmonquay/daemon/upstream_gate.h"
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <map>
 #include <string>
 #include <thread>
 #include <vector>
@@ -144,6 +147,94 @@
   CHECK(Gate.checkAdmission(Request).outcome() == proto::NOT_RUN);
 }
 
+/// A gate with one slot whose upstream never answers, and a link to it.
+class LinkFixture {
+public:
+  LinkFixture()
+      : Upstream(this->Context,
+                 Tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        Gate(this->Context, HeaderNames{}, this->Upstream.local_endpoint(),
+             this->Counters, this->Crashes),
+        Server(std::make_shared<LinkServer>(
+            this->Context, this->Gate, FrameLimits{},
+            [](std::uint64_t) { return std::nullopt; })) {
+    proto::UpstreamEntry Entry;
+    Entry.set_service("orders");
+    Entry.set_instance("i-1");
+    Entry.set_slots(1);
+    this->Gate.setUpstream(Entry);
+    absl::StatusOr<Tcp::acceptor> Acceptor = listenOn(
+        this->Context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    REQUIRE(Acceptor.ok());
+    this->Link = std::make_shared<PeerLink>(
+        this->Context, "n-1", Acceptor->local_endpoint(), Millis(1000),
+        FrameLimits{}, [](proto::LinkFrame) {});
+    this->Server->start(*std::move(Acceptor));
+    this->Link->start();
+    this->runUntil([this] { return this->Link->isUp(); });
+  }
+
+  ~LinkFixture() {
+    this->Link->stop();
+    this->Server->stop();
+  }
+
+  std::uint64_t submit(const std::string &Id) {
+    proto::CallRequest Request;
+    Request.set_service("orders");
+    Request.set_instance("i-1");
+    Request.set_request_id(Id);
+    Request.set_method("POST");
+    Request.set_target("/orders/1");
+    Request.set_remaining_ms(20000);
+    Request.set_objective_ms(20000);
+    Request.set_max_wait_ms(20000);
+    return this->Link->submit(Request, [this, Id](const proto::CallReply &Got) {
+      this->Outcomes[Id] = Got.outcome();
+    });
+  }
+
+  template <typename F> void runUntil(F &&Condition) {
+    const MonoTime Deadline = monoNow() + std::chrono::seconds(20);
+    while (!Condition() && monoNow() < Deadline)
+      this->Context.run_one_for(Millis(20));
+    REQUIRE(Condition());
+  }
+
+  asio::io_context Context;
+  Metrics Counters;
+  CrashLedger Crashes;
+  Tcp::acceptor Upstream;
+  UpstreamGate Gate;
+  std::shared_ptr<LinkServer> Server;
+  std::shared_ptr<PeerLink> Link;
+  std::map<std::string, proto::CallOutcome> Outcomes;
+};
+
+TEST_CASE("a call that waits is withdrawn, and one that runs is not") {
+  LinkFixture Fixture;
+  const std::uint64_t Running = Fixture.submit("running");
+  const std::uint64_t Waiting = Fixture.submit("waiting");
+  Fixture.runUntil([&] { return Fixture.Gate.load().waiting() == 1; });
+  Fixture.Link->withdraw(Running);
+  Fixture.Link->withdraw(Waiting);
+  Fixture.runUntil([&] { return Fixture.Outcomes.contains("waiting"); });
+  CHECK(Fixture.Outcomes["waiting"] == proto::NOT_RUN);
+  CHECK_FALSE(Fixture.Outcomes.contains("running"));
+  CHECK(Fixture.Gate.load().running() == 1);
+  CHECK(Fixture.Gate.load().waiting() == 0);
+}
+
+// The frames of the call and of its withdrawal wait in the gate's socket, as
+// they do while the gate's process is paused.
+TEST_CASE("a call that is withdrawn before the gate has read it does not run") {
+  LinkFixture Fixture;
+  Fixture.Link->withdraw(Fixture.submit("late"));
+  Fixture.runUntil([&] { return Fixture.Outcomes.contains("late"); });
+  CHECK(Fixture.Outcomes["late"] == proto::NOT_RUN);
+  CHECK(Fixture.Gate.callsInFlight() == 0);
+}
+
 /// Reads one request on a blocking socket and responds as the upstream.
 void respondOnce(Tcp::socket &Peer) {
   std::string Request;
--- a/persimmonquay/daemon/link_server.cc
+++ b/persimmonquay/daemon/link_server.cc
@@ -3,6 +3,7 @@
 #include "persimmonquay/base/logging.h"
 #include "persimmonquay/daemon/frame_channel.h"
 #include "persimmonquay/daemon/upstream_gate.h"
+#include <algorithm>
 #include <map>
 #include <utility>
 #include <vector>
@@ -46,6 +47,23 @@
     this->Tickets->erase(Found);
   }
 
+  /// Lets the gate reject the call if it has not started.
+  void withdraw(std::uint64_t Id) {
+    const auto Waiting = std::find_if(
+        this->Unsubmitted.begin(), this->Unsubmitted.end(),
+        [Id](const proto::CallRequest &Call) { return Call.id() == Id; });
+    if (Waiting != this->Unsubmitted.end()) {
+      // The gate rejects a call that has no time left.
+      proto::CallRequest Call = std::move(*Waiting);
+      this->Unsubmitted.erase(Waiting);
+      Call.set_remaining_ms(0);
+      this->submit(std::move(Call));
+    }
+    if (const auto Found = this->Tickets->find(Id);
+        Found != this->Tickets->end())
+      this->Gate.withdraw(Found->second);
+  }
+
   void cancelAll() {
     this->Unsubmitted.clear();
     for (const auto &[Id, Ticket] : *this->Tickets)
@@ -150,6 +168,8 @@
       break;
     if (Frame->has_call() && !Frame->call().only_ask())
       Calls.add(std::move(*Frame->mutable_call()));
+    else if (Frame->has_cancel() && Frame->cancel().only_waiting())
+      Calls.withdraw(Frame->cancel().id());
     else if (Frame->has_cancel())
       Calls.cancel(Frame->cancel().id());
     else
--- a/persimmonquay/daemon/peer_link.cc
+++ b/persimmonquay/daemon/peer_link.cc
@@ -98,6 +98,15 @@
   this->send(Frame);
 }
 
+void PeerLink::withdraw(std::uint64_t Ticket) {
+  if (!this->PendingCalls.contains(Ticket) || !this->Channel)
+    return;
+  proto::LinkFrame Frame;
+  Frame.mutable_cancel()->set_id(Ticket);
+  Frame.mutable_cancel()->set_only_waiting(true);
+  this->send(Frame);
+}
+
 void PeerLink::requestConfiguration(std::uint64_t HaveVersion) {
   if (!this->Channel)
     return;
--- a/persimmonquay/daemon/peer_link.h
+++ b/persimmonquay/daemon/peer_link.h
@@ -74,6 +74,10 @@
   /// Cancels a call; its handler is not called.
   void cancel(std::uint64_t Ticket);
 
+  /// Cancels a call if it has not started at the peer; its handler gets NOT_RUN
+  /// then.
+  void withdraw(std::uint64_t Ticket);
+
   /// Requests the configuration of the peer if it is newer than `HaveVersion`.
   void requestConfiguration(std::uint64_t HaveVersion);
 
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -88,6 +88,9 @@
 /// shortages.
 constexpr double ShortageLogLinesPerSecond = 0.5;
 
+/// Time after which a call that was withdrawn may be offered again.
+constexpr Millis WithdrawnDelay{20};
+
 /// Maximum rate of log lines per second about unreadable loads, which come with
 /// every response.
 constexpr double BadLoadLogLinesPerSecond = 0.1;
@@ -378,6 +381,14 @@
     ActiveCall->Connection->Socket.close(IgnoredError);
 }
 
+void UpstreamGate::withdraw(std::uint64_t Ticket) {
+  const auto Found = this->Calls.find(Ticket);
+  if (Found == this->Calls.end() || Found->second->IsRunning)
+    return;
+  this->Queue.cancel(Ticket);
+  this->reject({Ticket, "withdrawn while it waited", internal::WithdrawnDelay});
+}
+
 void UpstreamGate::setUpstream(std::optional<proto::UpstreamEntry> Entry) {
   const bool Replaced =
       Entry &&
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -77,6 +77,10 @@
   /// otherwise the call runs to its end.
   void cancel(std::uint64_t Ticket);
 
+  /// Rejects a call if it has not started. Unlike a call that is cancelled, it
+  /// gets a reply then.
+  void withdraw(std::uint64_t Ticket);
+
   /// Sets the upstream that is registered now, or none.
   void setUpstream(std::optional<proto::UpstreamEntry> Entry);
 
--- a/testing/platform/platform_test.cc
+++ b/testing/platform/platform_test.cc
@@ -361,6 +361,52 @@
           0);
 }
 
+// After a crash, the same request runs once at a time; the second one waits at
+// the gate for the first, without a limit of its own.
+TEST_CASE(
+    "an unsafe call that has not started in time is answered as not run") {
+  TwoNodes Setup;
+  std::atomic<bool> IsFirst = true;
+  std::atomic<bool> Release = false;
+  ScriptedUpstream &Upstream = *Setup.Server.Upstream;
+  Upstream.setHandler([&](const ReceivedRequest &Request) -> std::string {
+    if (Request.Target == "/health")
+      return healthResponse(Setup.Server.Instance);
+    if (Request.Target != "/orders/9")
+      return responseTo(Request);
+    if (IsFirst.exchange(false))
+      return CrashUpstream;
+    eventually(WaitTimeout, [&] { return Release.load(); });
+    return responseTo(Request);
+  });
+  CallOptions Options{.Method = "POST", .Target = "/orders/9"};
+  Options.RequestId = "crashing";
+  CHECK(Setup.Mesh.call(Setup.Caller, Options).Status >= 500);
+  Upstream.restart();
+  Setup.Server.StartedUnixMs =
+      static_cast<std::uint64_t>(unixMillis(wallNow()));
+  Setup.Server.Sequence = 0;
+  Setup.Mesh.heartbeat(Setup.Server);
+  REQUIRE(eventually(WaitTimeout, [&] {
+    return Setup.Mesh.call(Setup.Caller, {.RequestId = "again"}).Status == 200;
+  }));
+
+  CallResponse Running;
+  Options.RequestId = "running";
+  Options.DeadlineMs = 20000;
+  std::thread Caller([&Setup, &Running, Options] {
+    Running = Setup.Mesh.call(Setup.Caller, Options);
+  });
+  REQUIRE(eventually(WaitTimeout,
+                     [&] { return receivedCount(Upstream, "running") == 1; }));
+  Options.RequestId = "waiting";
+  Options.DeadlineMs = 800;
+  CHECK(Setup.Mesh.call(Setup.Caller, Options).Status == 503);
+  Release = true;
+  Caller.join();
+  CHECK(receivedCount(Upstream, "waiting") == 0);
+}
+
 TEST_CASE("a paused node does not run a request whose caller has left") {
   TwoNodes Setup;
   Setup.Server.Sidecar->signal(SIGSTOP);
