--- a/persimmonquay/daemon/peer_link.cc
+++ b/persimmonquay/daemon/peer_link.cc
@@ -108,7 +108,7 @@
     return;
   proto::LinkFrame Frame;
   Frame.mutable_cancel()->set_id(Ticket);
-  Frame.mutable_cancel()->set_only_if_waiting(true);
+  Frame.mutable_cancel()->set_only_waiting(true);
   this->send(Frame);
 }
 
--- a/persimmonquay/daemon/peer_link.h
+++ b/persimmonquay/daemon/peer_link.h
@@ -85,8 +85,8 @@
   /// Cancels a call; its handler is not called.
   void cancel(std::uint64_t Ticket);
 
-  /// Ends a call that has not been started with a NOT_RUN reply, unless its
-  /// reply is already on the way. A running call is not changed.
+  /// Cancels a call if it has not started at the peer; its handler gets NOT_RUN
+  /// then.
   void withdraw(std::uint64_t Ticket);
 
   /// Requests the configuration of the peer if it is newer than `HaveVersion`.
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -36,10 +36,8 @@
 /// Reason of a rejection because the operator has evacuated the data centre.
 inline constexpr std::string_view EvacuatedReason =
     "the data centre is evacuated";
-/// Reason of a rejection because the key of the call's caller is not valid any
-/// more.
-inline constexpr std::string_view KeyWithdrawnReason =
-    "the caller's key has been withdrawn";
+/// Reason of a rejection because the call was withdrawn before it started.
+inline constexpr std::string_view WithdrawnReason = "withdrawn while it waited";
 
 /// Result of one call that reached the upstream.
 struct UpstreamCallResult {
@@ -86,8 +84,8 @@
   /// otherwise the call runs to its end.
   void cancel(std::uint64_t Ticket);
 
-  /// Rejects a call that has not been started, because its caller's key has
-  /// been withdrawn. A running call is not changed.
+  /// Rejects a call if it has not started. Unlike a call that is cancelled, it
+  /// gets a reply then.
   void withdraw(std::uint64_t Ticket);
 
   /// Sets the upstream that is registered now, or none.
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -579,7 +579,7 @@
   Fixture.Gate.withdraw(1);
   Fixture.Gate.withdraw(2);
   CHECK(Fixture.Replies["waiting"].outcome() == proto::NOT_RUN);
-  CHECK(Fixture.Replies["waiting"].reason() == KeyWithdrawnReason);
+  CHECK(Fixture.Replies["waiting"].reason() == WithdrawnReason);
   Fixture.runUntil([&] { return Fixture.Replies.size() == 3; });
   CHECK(Fixture.Replies["running"].outcome() == proto::ANSWERED);
   CHECK(Fixture.Replies["other"].outcome() == proto::ANSWERED);
