--- a/persimmonquay/traffic/upstream_ranking.h
+++ b/persimmonquay/traffic/upstream_ranking.h
@@ -73,8 +73,8 @@
   }
 
   /// Returns when the upstream takes calls of this node and until when it is
-  /// cold, as it last told; may be in the past. Each
-  /// node is told another time, so that few offers are refused.
+  /// cold, as it last told; may be in the past. Each node is told another time,
+  /// so that few offers are refused.
   const ClosedUpstream &closed() const { return this->Closed; }
 
   std::uint32_t inFlight() const { return this->InFlight; }
