--- a/persimmonquay/daemon/daemon_test.cc
+++ b/persimmonquay/daemon/daemon_test.cc
@@ -1,5 +1,6 @@
 #include "persimmonquay/daemon/caller_server.h"
 #include "persimmonquay/daemon/link_server.h"
+#include "persimmonquay/daemon/link_transmitter.h"
 #include "persimmonquay/daemon/metrics.h"
 #include "persimmonquay/daemon/peer_link.h"
 #include "persimmonquay/daemon/sockets.h"
@@ -156,8 +157,12 @@
         Gate(this->Context, HeaderNames{}, this->Upstream.local_endpoint(),
              this->Counters, this->Crashes),
         Server(std::make_shared<LinkServer>(
-            this->Context, this->Gate, FrameLimits{},
-            [](std::uint64_t) { return std::nullopt; })) {
+            this->Context, this->Gate,
+            std::make_shared<LinkTransmitter>(this->Context, this->Counters, 0,
+                                              MaxWaitingBytes),
+            FrameLimits{}, [](const proto::ConfigurationQuery &) {
+              return std::vector<proto::LinkFrame>();
+            })) {
     proto::UpstreamEntry Entry;
     Entry.set_service("orders");
     Entry.set_instance("i-1");
@@ -194,6 +199,8 @@
     });
   }
 
+  static constexpr std::size_t MaxWaitingBytes = 1U << 20U;
+
   template <typename F> void runUntil(F &&Condition) {
     const MonoTime Deadline = monoNow() + std::chrono::seconds(20);
     while (!Condition() && monoNow() < Deadline)
