accounts, daemon, docs: no final refusal of an upstream's late call

Cause: a call that the upstream makes while it runs another carries no key. Read late on a busy host, after the running call had ended, it got a final 401.

Change: UpstreamGate::activity() is unknown for 3 s after the last call (the time after its deadline by which an upstream has stopped working); calls without a key then get 503 instead of 401.

The gate's test doesn't compile without the change.

--- a/persimmonquay/accounts/caller_access.h
+++ b/persimmonquay/accounts/caller_access.h
@@ -10,6 +10,7 @@
 #define PERSIMMONQUAY_ACCOUNTS_CALLER_ACCESS_H
 
 #include "persimmonquay/accounts/caller_key.h"
+#include "persimmonquay/accounts/upstream_activity.h"
 
 namespace persimmonquay {
 
@@ -18,14 +19,6 @@
 class ClientAccount;
 } // namespace proto
 
-/// What is known of the calls that run at the upstream on this host.
-enum class UpstreamActivity {
-  Idle,
-  MayBeRunning,
-  /// It may be running calls of this node's earlier run.
-  Unknown,
-};
-
 /// Whether a call may be routed, and for which account.
 struct CallerAccess {
   enum class Verdict {
--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -351,13 +351,13 @@
   const AccountTable &Accounts = Call.Routes->accounts();
   if (!Accounts.requiresKeys())
     return std::nullopt;
-  const UpstreamActivity Activity =
-      this->Dependencies.LocalGate.mayBeRunningCalls()
-          ? UpstreamActivity::MayBeRunning
-      : monoNow() < this->StartupEnd + internal::EarlierCallsTime
-          ? UpstreamActivity::Unknown
-          : UpstreamActivity::Idle;
   const CallerKey Key = internal::callerKeyOf(Message);
+  UpstreamActivity Activity = UpstreamActivity::Idle;
+  if (Key.Presented == CallerKey::Kind::Missing)
+    Activity = this->Dependencies.LocalGate.activity();
+  if (Activity == UpstreamActivity::Idle &&
+      monoNow() < this->StartupEnd + internal::EarlierCallsTime)
+    Activity = UpstreamActivity::Unknown;
   const CallerAccess Access =
       decideCallerAccess(Accounts, Key, Call.Route->public_access(), Activity);
   if (Access.Account != nullptr)
@@ -371,7 +371,7 @@
   if (Access.Decision == CallerAccess::Verdict::Undecided)
     return this->Responses.errorResponse(
         Call, StatusUnavailable,
-        "calls of the upstream can't be recognized right after the start",
+        "calls of the upstream can't be recognized right now",
         DefaultRetryAfter);
   if (Access.Decision == CallerAccess::Verdict::UnknownKey &&
       !this->Dependencies.ConfirmNewest(Call.Request->Arrival))
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -416,11 +416,16 @@
   return false;
 }
 
-bool UpstreamGate::mayBeRunningCalls() const {
+UpstreamActivity UpstreamGate::activity() const {
+  const MonoTime Now = monoNow();
   const std::optional<MonoTime> UnattendedEnd = this->Unattended.lastEnd();
-  return (UnattendedEnd && monoNow() < *UnattendedEnd) ||
-         std::any_of(this->Calls.begin(), this->Calls.end(),
-                     [](const auto &Item) { return Item.second->IsRunning; });
+  if ((UnattendedEnd && Now < *UnattendedEnd) ||
+      std::any_of(this->Calls.begin(), this->Calls.end(),
+                  [](const auto &Item) { return Item.second->IsRunning; }))
+    return UpstreamActivity::MayBeRunning;
+  return this->LastCallEnd && Now < *this->LastCallEnd + internal::MaxOverrun
+             ? UpstreamActivity::Unknown
+             : UpstreamActivity::Idle;
 }
 
 proto::LoadReport UpstreamGate::load() const {
@@ -935,6 +940,7 @@
                           proto::CallReply Reply) {
   this->Queue.finish(ActiveCall->Ticket);
   this->Calls.erase(ActiveCall->Ticket);
+  this->LastCallEnd = monoNow();
   this->releaseSuspect(ActiveCall->Ticket);
   if (Reply.outcome() == proto::ANSWERED && !this->Unattended.empty())
     this->Unattended.removeAnswered(
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -3,6 +3,7 @@
 #ifndef PERSIMMONQUAY_DAEMON_UPSTREAM_GATE_H
 #define PERSIMMONQUAY_DAEMON_UPSTREAM_GATE_H
 
+#include "persimmonquay/accounts/upstream_activity.h"
 #include "persimmonquay/base/line_writer.h"
 #include "persimmonquay/base/time.h"
 #include "persimmonquay/daemon/asio.h"
@@ -125,8 +126,9 @@
   bool hasRunningCallWithDeadline(MonoTime Deadline) const;
 
   /// Returns whether the upstream may be running any call, also one whose
-  /// connection was lost or whose caller has left.
-  bool mayBeRunningCalls() const;
+  /// connection was lost or whose caller has left; unknown for a while after
+  /// the last call.
+  UpstreamActivity activity() const;
 
   /// Returns a WOULD_TAKE reply if the call would be admitted now, or else the
   /// rejection.
@@ -247,6 +249,8 @@
   /// Whether an end of the registered incarnation has been recorded.
   bool HasRecordedCrash = false;
   UnattendedCalls Unattended;
+  /// When the last call ended, if any did.
+  std::optional<MonoTime> LastCallEnd;
   /// No call is resent until then.
   MonoTime ResendPausedUntil;
   CrashLedger &Crashes;
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -520,6 +520,25 @@
   CHECK(Reply.resent() == 0);
 }
 
+// A call of the upstream that is read late must not be taken for a caller's.
+TEST_CASE("an upstream counts as active until its calls surely have ended") {
+  GateFixture Fixture;
+  CHECK(Fixture.Gate.activity() == UpstreamActivity::Idle);
+  Fixture.Scripts["left"] = {.Bytes = "", .LateBytes = responseTo("left")};
+  Fixture.submit("left");
+  Fixture.runUntil([&] { return Fixture.Received.size() == 1; });
+  CHECK(Fixture.Gate.activity() == UpstreamActivity::MayBeRunning);
+  SUBCASE("after its response") {
+    Fixture.runUntil([&] { return Fixture.Replies.size() == 1; });
+    CHECK(Fixture.Gate.activity() == UpstreamActivity::Unknown);
+  }
+  SUBCASE("after its caller has left") {
+    Fixture.Gate.cancel(1);
+    Fixture.runUntil([&] { return Fixture.Gate.callsInFlight() == 0; });
+    CHECK(Fixture.Gate.activity() == UpstreamActivity::MayBeRunning);
+  }
+}
+
 TEST_CASE("a withdrawn call is rejected if it waits and ends if it runs") {
   GateFixture Fixture(1);
   Fixture.submit("running", Millis(5000), "POST", false);
