Tests: each of several pipelined requests is judged by its own key

One connection with a valid key, an unknown one, the scheme in lower case, another scheme and a byte that no key can contain.

Not run against code without the check of keys.

--- a/testing/platform/accounts_test.cc
+++ b/testing/platform/accounts_test.cc
@@ -5,6 +5,8 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/StreamCopier.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <algorithm>
 #include <atomic>
 #include <csignal>
@@ -116,6 +118,25 @@
     CHECK(Node->Sidecar->output().find("key-of") == std::string::npos);
 }
 
+TEST_CASE("each of several pipelined requests is judged by its own key") {
+  AccountMesh Setup;
+  std::string Requests;
+  for (const char *Value :
+       {"Bearer key-of-hotel", "Bearer key-of-nobody", "bearer key-of-desk",
+        "Basic key-of-hotel", "Bearer key-of-h\xf4tel"})
+    Requests += absl::StrCat("GET /views/7 HTTP/1.1\r\nHost: boards.example\r\n"
+                             "X-Persimmonquay-Request-Id: piped\r\n"
+                             "Authorization: ",
+                             Value, "\r\n\r\n");
+  const std::string Received =
+      sendBytes(Setup.Far.CallerPort, Requests, Millis(3000));
+  std::vector<std::string> Statuses;
+  for (std::size_t At = Received.find("HTTP/1.1 "); At != std::string::npos;
+       At = Received.find("HTTP/1.1 ", At + 1))
+    Statuses.push_back(Received.substr(At + 9, 3));
+  CHECK(absl::StrJoin(Statuses, " ") == "200 401 200 401 401");
+}
+
 TEST_CASE("a call that an upstream makes while it runs another needs no key") {
   AccountMesh Setup;
   Setup.Near.Upstream->setHandler([&Setup](const ReceivedRequest &Request) {
