Tests: a refusal because of the link names the time when there is room

Cause: the test over real processes took any 503 for a proper refusal. Change: one without Retry-After counts as lost.

--- a/testing/platform/thin_link_test.cc
+++ b/testing/platform/thin_link_test.cc
@@ -61,7 +61,8 @@
                                .DeadlineMs = 2000});
         if (Response.Status == 200 && Response.Body == Download)
           ++Answered;
-        else if (Response.Status == 503)
+        else if (Response.Status == 503 &&
+                 Response.Headers.contains("retry-after"))
           ++Refused;
         else
           ++Lost;
@@ -91,7 +92,8 @@
                    << ", lost " << Lost.load());
   CHECK(SmallAnswered == SmallCalls);
   CHECK(Longest < Millis(500));
-  // Downloads that were started were delivered, and the link was used.
+  // Downloads that were started were delivered, the others refused with the
+  // time when there is room, and the link was used.
   CHECK(Lost.load() == 0);
   CHECK(Answered * DownloadBytes >
         0.6 * LinkMbps * BytesPerMegabit * LoadTime.count() / 1000);
