traffic, daemon: a first report of speed isn't the mean; bounded log lines

An upstream whose first report fell into a slow time counted as slow for seconds, since the report was taken for the mean. The mean starts at the usual speed. Lines about a shortage alternate also when they are limited, and an unreadable load is cut at 64 characters.

The model's idle slots are tested: none where a data centre has one upstream.

--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -526,9 +526,10 @@
 void UpstreamGate::logShortage() {
   const ShortageTally &Tally = this->Queue.tally();
   const bool IsShortage = Tally.isShortage(monoNow());
-  if (std::exchange(this->HasShortage, IsShortage) == IsShortage ||
+  if (this->HasShortage == IsShortage ||
       !this->ShortageLogLimit.allow(monoNow()))
     return;
+  this->HasShortage = IsShortage;
   logLine(
       LogLevel::Info,
       IsShortage ? "shortage at the upstream"
@@ -913,7 +914,8 @@
   else if (this->BadLoadLogLimit.allow(monoNow()))
     logLine(LogLevel::Warning, "load of the upstream can't be read",
             {{"instance", this->Upstream ? this->Upstream->instance() : ""},
-             {"load", std::string(Field->value())}});
+             {"load",
+              std::string(Field->value().substr(0, MaxUpstreamLoadLength))}});
 }
 
 bool UpstreamGate::readLeaving(const HttpResponse &Response) {
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -260,7 +260,8 @@
   /// By route.
   NestedKinds Nested;
   AdmissionQueue Queue{0};
-  /// Whether there was a shortage when a call last came or ended.
+  /// Whether the last line that was logged about it says that there is a
+  /// shortage.
   bool HasShortage = false;
   /// Whether the upstream itself has told its limit, or that it has none, since
   /// this node has known it.
--- a/persimmonquay/traffic/host_speed.cc
+++ b/persimmonquay/traffic/host_speed.cc
@@ -34,8 +34,7 @@
   const double Weight =
       1 - std::exp(-std::chrono::duration<double>(Now - this->ReportedAt) /
                    std::chrono::duration<double>(internal::MeanTime));
-  this->Mean = this->IsKnown ? this->Mean + Weight * (this->Latest - this->Mean)
-                             : Reported;
+  this->Mean += Weight * (this->Latest - this->Mean);
   this->IsKnown = true;
   this->Latest = Reported;
   this->ReportedAt = Now;
--- a/persimmonquay/traffic/host_speed.h
+++ b/persimmonquay/traffic/host_speed.h
@@ -44,6 +44,7 @@
   Micros extraTime(Micros Time, MonoTime Now) const;
 
 private:
+  /// Whether anything has been reported.
   bool IsKnown = false;
   double Latest = 1;
   double Mean = 1;
--- a/persimmonquay/traffic/host_speed_test.cc
+++ b/persimmonquay/traffic/host_speed_test.cc
@@ -60,6 +60,15 @@
   CHECK(Speed.extraTime(Millis(100), Now) < Millis(3));
 }
 
+TEST_CASE("a first report doesn't count as usual") {
+  HostSpeed Speed;
+  const MonoTime Now = monoNow();
+  Speed.record(250, Now);
+  CHECK(Speed.factor(Now) == doctest::Approx(2.5));
+  CHECK(Speed.extraTime(Millis(100), Now) == Millis(150));
+  CHECK(Speed.factor(Now + Millis(2000)) < 1.1);
+}
+
 TEST_CASE("a report is bounded") {
   HostSpeed Speed;
   const MonoTime Now = monoNow();
--- a/persimmonquay/traffic/upstream_load.cc
+++ b/persimmonquay/traffic/upstream_load.cc
@@ -6,9 +6,6 @@
 namespace persimmonquay {
 namespace internal {
 
-/// Longest text that is read; four figures take far less.
-constexpr std::size_t MaxLoadLength = 64;
-
 constexpr std::size_t MinFigures = 3;
 
 std::string_view trim(std::string_view Text) {
@@ -22,7 +19,7 @@
 } // namespace internal
 
 std::optional<UpstreamLoad> parseUpstreamLoad(std::string_view Text) {
-  if (Text.size() > internal::MaxLoadLength)
+  if (Text.size() > MaxUpstreamLoadLength)
     return std::nullopt;
   std::array<std::uint32_t, 4> Figures{};
   std::size_t Count = 0;
--- a/persimmonquay/traffic/upstream_load.h
+++ b/persimmonquay/traffic/upstream_load.h
@@ -2,12 +2,16 @@
 #ifndef PERSIMMONQUAY_TRAFFIC_UPSTREAM_LOAD_H
 #define PERSIMMONQUAY_TRAFFIC_UPSTREAM_LOAD_H
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string_view>
 
 namespace persimmonquay {
 
+/// Longest text that is read; the figures take far less.
+inline constexpr std::size_t MaxUpstreamLoadLength = 64;
+
 struct UpstreamLoad {
   std::uint32_t Running = 0;
   std::uint32_t Waiting = 0;
--- a/testing/model/mesh_model.h
+++ b/testing/model/mesh_model.h
@@ -118,6 +118,7 @@
 
 /// A request that a caller made, whatever became of it.
 struct ModelDemand {
+  /// Points into the site.
   const ModelKind *Kind = nullptr;
   /// Its work at an upstream of slowness 1, in seconds.
   double Work = 0;
--- a/testing/model/mesh_model_test.cc
+++ b/testing/model/mesh_model_test.cc
@@ -241,6 +241,20 @@
   }
 }
 
+TEST_CASE("fewer slots idle while calls wait than by chance") {
+  ModelSite Site = catalogueSite(0.7);
+  // No call waits for another upstream of its data centre than the only one.
+  Site.Upstreams.erase(Site.Upstreams.begin());
+  Site.Kinds[0].Rates = {30, 30, 30};
+  CHECK(Sum(Site, ModelPlacement::LocalLeastLoaded).IdleSlotSeconds == 0);
+  for (std::size_t DataCentre = 0; DataCentre < 3; ++DataCentre)
+    Site.Upstreams.push_back(
+        {.Service = "catalogue", .DataCentre = DataCentre});
+  Site.Kinds[0].Rates = {120, 120, 90};
+  CHECK(Sum(Site, ModelPlacement::Expected).IdleSlotSeconds * 2 <
+        Sum(Site, ModelPlacement::Random).IdleSlotSeconds);
+}
+
 TEST_CASE("calls avoid upstreams whose host is slow at the moment") {
   ModelSite Site;
   Site.NodesPerDataCentre = 4;
