--- a/persimmonquay/traffic/upstream_load.cc
+++ b/persimmonquay/traffic/upstream_load.cc
@@ -7,15 +7,12 @@
 namespace persimmonquay {
 namespace internal {
 
-/// Longest text that is read; four figures take far less.
-constexpr std::size_t MaxLoadLength = 64;
-
 constexpr std::size_t MinFigures = 3;
 
 } // namespace internal
 
 std::optional<UpstreamLoad> parseUpstreamLoad(std::string_view Text) {
-  if (Text.size() > internal::MaxLoadLength)
+  if (Text.size() > MaxUpstreamLoadLength)
     return std::nullopt;
   std::array<std::uint32_t, 4> Figures{};
   std::size_t Count = 0;
