daemon: a heartbeat that says cold counts before it is trusted

A heartbeat of another incarnation waits for up to 0.8 s until the departures that earlier runs confirmed are known. Meanwhile the calls to the upstream were not limited, if a health check had found its predecessor warm.

Seen: "all upstreams cold at once under load climb back without a crash" failed once in the whole platform_test beside load (60 of 61 passed): one upstream got 30 calls in a second, the bound is 29, and ended. That this is the cause follows from reading, not from a log. The case passed five of five times since; the whole program was not run again.

--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -665,6 +665,9 @@
   // A departure is binding whoever remembers what.
   const bool MayBringBack =
       !Received.Draining && !this->Registry.isRegistered(Received);
+  // Whether or not it can be trusted to be in use.
+  if (MayBringBack && Received.ColdRemaining > Millis{0})
+    this->Gate.assumeCold("a heartbeat of another incarnation says so");
   if (MayBringBack && !co_await this->awaitDepartures() &&
       !co_await this->confirmsByHealthCheck(Received))
     co_return;
