--- a/persimmonquay/daemon/daemon_test.cc
+++ b/persimmonquay/daemon/daemon_test.cc
@@ -173,7 +173,7 @@
     REQUIRE(Acceptor.ok());
     this->Link = std::make_shared<PeerLink>(
         this->Context, "n-1", Acceptor->local_endpoint(), Millis(1000),
-        FrameLimits{}, [](proto::LinkFrame) {});
+        FrameLimits{}, [](const proto::LinkFrame &) {});
     this->Server->start(*std::move(Acceptor));
     this->Link->start();
     this->runUntil([this] { return this->Link->isUp(); });
