--- a/persimmonquay/traffic/traffic_test.cc
+++ b/persimmonquay/traffic/traffic_test.cc
@@ -532,6 +532,7 @@
                                           "e", "f", "g", "h"};
   const UpstreamView View(true, SlotCount);
   std::vector<PlacementTarget> Targets;
+  Targets.reserve(Names.size());
   for (const std::string &Name : Names)
     Targets.push_back({Name, Names[0], View});
   PlacementGoal Goal;
--- a/testing/model/mesh_model.cc
+++ b/testing/model/mesh_model.cc
@@ -394,18 +394,19 @@
 
   /// As in `CallRouter`.
   void removeClosed(ModelCall &Call, std::vector<std::size_t> &Candidates) {
-    const std::vector<UpstreamView> &Views = this->Nodes[Call.DataCentre].Views;
+    const std::vector<UpstreamView> &Views = this->Nodes[Call.Node].Views;
     const auto FirstClosed = std::stable_partition(
         Candidates.begin(), Candidates.end(),
         [&](std::size_t I) { return Views[I].closed().OpensAt <= this->Now; });
     if (FirstClosed == Candidates.begin() && !Candidates.empty()) {
       std::vector<ClosedUpstream> Closed;
+      Closed.reserve(Candidates.size());
       for (const std::size_t I : Candidates)
         Closed.push_back(Views[I].closed());
       const double Random =
           std::uniform_real_distribution<double>(0, 1)(this->ChoiceRandom);
       Call.RetryAfter =
-          this->Nodes[Call.DataCentre].Returns[Call.Kind->Service].schedule(
+          this->Nodes[Call.Node].Returns[Call.Kind->Service].schedule(
               Closed, Random, this->Now);
     }
     Candidates.erase(FirstClosed, Candidates.end());
