--- a/persimmonquay/accounts/quota_test.cc
+++ b/persimmonquay/accounts/quota_test.cc
@@ -284,7 +284,7 @@
   std::uint64_t NextEvent = 0;
 };
 
-TEST_CASE("worst case of the design is within the allowance") {
+TEST_CASE("the worst case of the design is within the bound") {
   for (const double Rate : {0.1, 1.0, 4.0, 30.0, 663.0, 20000.0})
     for (const double Burst : {0.0, 1.0, Rate, 5 * Rate})
       for (const std::size_t DataCentres : {1U, 4U, 16U})
@@ -311,7 +311,7 @@
   return Admitted / Arrived;
 }
 
-TEST_CASE("callers get their allowance, spread over nodes or at one node") {
+TEST_CASE("callers get their quota, spread over nodes or at one node") {
   for (const QuotaLimit Limit :
        {QuotaLimit{4, 4}, QuotaLimit{60, 60}, QuotaLimit{663, 663}})
     for (const double Load : {0.5, 0.8, 7.0})
@@ -346,7 +346,7 @@
         0.97 * 10 * Limit.RatePerSecond);
 }
 
-TEST_CASE("callers that move to one node get the allowance within a second") {
+TEST_CASE("callers that move to one node get the quota within a second") {
   const QuotaLimit Limit{200, 200};
   QuotaMesh Mesh(4, 5, Limit, 2);
   for (std::size_t I = 0; I < Mesh.Nodes.size(); ++I)
