daemon: a key withdrawn while its call waits for a quota refuses the call

Cause: calls with a key were watched for its withdrawal only from the time at which they were placed, and a call may wait for a grant before that. Change: they are watched from the check of the key on.

--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -261,15 +261,16 @@
   auto Call = std::make_shared<RoutedCall>();
   Call->Request = std::move(Request);
   std::optional<HttpResponse> Response = this->prepareCall(*Call);
-  if (!Response && Call->Account != nullptr && Call->Account->rate_per_s() > 0)
-    Response = co_await this->spendQuota(Call);
+  if (!Response && Call->Account != nullptr) {
+    this->KeyedCalls.insert(Call);
+    if (Call->Account->rate_per_s() > 0)
+      Response = co_await this->spendQuota(Call);
+  }
   if (!Response) {
     this->serviceState(Call->Service).Budget.recordCall(monoNow());
-    if (Call->Account != nullptr)
-      this->KeyedCalls.insert(Call);
     Response = co_await this->forward(Call);
-    this->KeyedCalls.erase(Call);
   }
+  this->KeyedCalls.erase(Call);
   if (Call->Charge && Call->RunCount == 0 && !Call->MayHaveRun)
     this->Dependencies.Quotas.giveBack(*Call->Charge);
   if (Call->Request->CallerDisconnected)
