daemon: an upstream that its watch has reached again counts as cold

Cause: the watch's connection after an end of the upstream and the gate's own (cold upstreams) were recorded apart, so only the second one took the upstream to be cold. Change: recordConnected() for both.

--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -195,7 +195,7 @@
       Crashes(KnownCrashes),
       Watch(IoContext, std::move(UpstreamAddress), this->Pool,
             UpstreamWatch::Callbacks{[this] { return this->awaitsResponse(); },
-                                     [this] { this->IsUpstreamDown = false; },
+                                     [this] { this->recordConnected(); },
                                      [this] { this->recordCrash(); }}),
       ExpiryTimer(IoContext) {}
 
@@ -695,10 +695,14 @@
   if (!Connection->Socket.is_open())
     co_return asio::error::operation_aborted;
   configureConnection(Connection->Socket, UpstreamTcpTimeout);
+  this->recordConnected();
+  co_return ErrorCode();
+}
+
+void UpstreamGate::recordConnected() {
   // It may have come back at any time since the last attempt.
   if (std::exchange(this->IsUpstreamDown, false))
     this->assumeCold("it can be reached again");
-  co_return ErrorCode();
 }
 
 void UpstreamGate::recordUnattended(const Call &ActiveCall) {
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -227,6 +227,8 @@
   asio::awaitable<ErrorCode> connect(Call &ActiveCall);
   /// Opens a new connection for a call.
   asio::awaitable<ErrorCode> openConnection(Call &ActiveCall);
+  /// Records that a connection to the upstream has been opened.
+  void recordConnected();
   /// Keeps a call in mind whose connection has ended without a response,
   /// because the upstream may still be running it.
   void recordUnattended(const Call &ActiveCall);
