--- a/review/10/case.cc
+++ b/review/10/script.cc
@@ -85,7 +85,7 @@
   std::atomic<bool> IsBroken = false;
 };
 
-int play(bool HasTrouble) {
+void play(bool HasTrouble) {
   Machines Mesh(HasTrouble);
   Mesh.Platform.put("keyed.op", "config",
                     configuration(5, {"inspect-archive"},
@@ -137,14 +137,14 @@
   IsStopping = true;
   Reports.join();
   if (!IsReady || Status != 200)
-    return ExitCannotRun;
+    endCase(ExitCannotRun);
   record(Mesh.IsBroken ? "DRAIN is broken" : "DRAIN holds");
-  return Mesh.IsBroken ? ExitBroken : ExitHeld;
+  endCase(Mesh.IsBroken ? ExitBroken : ExitHeld);
 }
 
 } // namespace
 } // namespace review
 
 int main(int ArgumentCount, char **Arguments) {
-  return review::runCase(ArgumentCount, Arguments, review::play);
+  review::runCase(ArgumentCount, Arguments, review::play);
 }
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/{6,8,10}/case.cc; do
+for source in review/{6,8,10}/script.cc; do
   [ -e "$source" ] || continue
   number="$(basename "$(dirname "$source")")"
   g++ -std=c++20 -O2 -Wall -Wextra "$source" review/rig-2/stand_ins.cc \
--- a/review/rig-2/stand_ins.cc
+++ b/review/rig-2/stand_ins.cc
@@ -697,34 +697,41 @@
          Rules + "]}]}";
 }
 
-int runCase(int ArgumentCount, char **Arguments,
-            const std::function<int(bool HasTrouble)> &Body) {
+void endCase(int ExitCode) {
+  std::set<pid_t> Children;
+  {
+    const std::lock_guard<std::mutex> Lock(globals().Mutex);
+    Children = globals().Children;
+  }
+  for (const pid_t Child : Children) {
+    ::kill(Child, SIGKILL);
+    waitpid(Child, nullptr, 0);
+  }
+  std::filesystem::remove_all(globals().Directory);
+  record("exit " + std::to_string(ExitCode));
+  std::cout << "exit " << ExitCode << std::endl;
+  std::_Exit(ExitCode);
+}
+
+void runCase(int ArgumentCount, char **Arguments,
+             const std::function<void(bool HasTrouble)> &Body) {
   signal(SIGPIPE, SIG_IGN);
   const std::string Folder = ArgumentCount > 1 ? Arguments[1] : ".";
   globals().Record.open(Folder + "/record.txt");
-  std::string Template =
+  std::string Directory =
       (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
-  if (mkdtemp(Template.data()) == nullptr)
-    return ExitCannotRun;
-  globals().Directory = Template;
+  if (mkdtemp(Directory.data()) == nullptr)
+    std::_Exit(ExitCannotRun);
+  globals().Directory = Directory;
   const char *Trouble = std::getenv("TROUBLE");
   const bool HasTrouble = Trouble == nullptr || std::string(Trouble) != "0";
   record(HasTrouble ? "with the disruption" : "without the disruption");
-  int Result = ExitCannotRun;
   try {
-    Result = Body(HasTrouble);
+    Body(HasTrouble);
   } catch (const std::exception &Error) {
     record(std::string("the case couldn't run: ") + Error.what());
   }
-  for (const pid_t Child : globals().Children) {
-    ::kill(Child, SIGKILL);
-    waitpid(Child, nullptr, 0);
-  }
-  std::filesystem::remove_all(Template);
-  record("exit " + std::to_string(Result));
-  std::cout << "exit " << Result << std::endl;
-  // Threads of the stand-ins still run.
-  std::_Exit(Result);
+  endCase(ExitCannotRun);
 }
 
 } // namespace review
--- a/review/rig-2/stand_ins.h
+++ b/review/rig-2/stand_ins.h
@@ -211,6 +211,8 @@
   const Options &options() const { return this->Setup; }
   std::uint16_t callerPort() const { return this->CallerPort; }
   std::uint16_t linkPort() const { return this->LinkPort; }
+  std::uint16_t registrationPort() const { return this->RegistrationPort; }
+  std::int64_t born() const { return this->Born; }
   pid_t pid() const { return this->Pid; }
   /// Returns lines of the log that contain `Text`.
   std::vector<std::string> logLines(const std::string &Text) const;
@@ -259,11 +261,15 @@
                           const std::vector<std::string> &Services,
                           const std::vector<Route> &Routes);
 
-/// Runs a case: calls `Body` with whether the disruption is to take place, and
-/// ends the process with its exit code after all nodes have ended. The first
-/// argument of the program is the folder of the case.
-int runCase(int ArgumentCount, char **Arguments,
-            const std::function<int(bool HasTrouble)> &Body);
+/// Ends all nodes and the case with an exit code. The threads of the stand-ins
+/// still run then, so nothing that they use may be destroyed before.
+[[noreturn]] void endCase(int ExitCode);
+
+/// Runs a case: calls `Body`, which ends with `endCase()`, with whether the
+/// disruption is to take place. The first argument of the program is the folder
+/// of the case.
+[[noreturn]] void runCase(int ArgumentCount, char **Arguments,
+                          const std::function<void(bool HasTrouble)> &Body);
 
 } // namespace review
 
