--- a/persimmonquay/daemon/metrics.cc
+++ b/persimmonquay/daemon/metrics.cc
@@ -16,8 +16,12 @@
     "malformed", "unknown",         "timed_out", "caller_left"};
 constexpr std::array<const char *, 5> AttemptOutcomeLabels = {
     "answered", "busy", "not_run", "lost", "given_up"};
-constexpr std::array<const char *, 4> GateActionLabels = {
-    "started", "waited", "rejected", "cancelled"};
+constexpr std::array<const char *, 5> GateActionLabels = {
+    "started", "waited", "rejected", "cancelled", "resent"};
+constexpr std::array<const char *, 3> StoreRequestLabels = {"read", "list",
+                                                            "append"};
+constexpr std::array<const char *, 3> StoreOutcomeLabels = {
+    "answered", "refused", "no_response"};
 
 /// Upper bounds of the buckets in seconds: from a hop within one host to the
 /// longest deadline.
@@ -73,6 +77,15 @@
   internal::addCounters<2>(*this->Registry, "pq_store_calls_total",
                            "Calls to the platform's store by result", "result",
                            {"failed", "served"}, &this->StoreCalls);
+  auto &StoreFamily = prometheus::BuildCounter()
+                          .Name("pq_store_requests_total")
+                          .Help("Requests to the platform's store by result")
+                          .Register(*this->Registry);
+  for (std::size_t Kind = 0; Kind < internal::StoreRequestLabels.size(); ++Kind)
+    for (std::size_t I = 0; I < internal::StoreOutcomeLabels.size(); ++I)
+      this->StoreRequests[Kind][I] =
+          &StoreFamily.Add({{"request", internal::StoreRequestLabels[Kind]},
+                            {"result", internal::StoreOutcomeLabels[I]}});
   this->UpstreamCrashes =
       &prometheus::BuildCounter()
            .Name("pq_upstream_crashes_total")
@@ -123,6 +136,12 @@
   this->StoreCalls[Succeeded ? 1 : 0]->Increment();
 }
 
+void Metrics::recordStoreRequest(StoreRequest Kind, StoreOutcome Outcome) {
+  this->StoreRequests[static_cast<std::size_t>(Kind)]
+                     [static_cast<std::size_t>(Outcome)]
+                         ->Increment();
+}
+
 void Metrics::recordUpstreamCrash() { this->UpstreamCrashes->Increment(); }
 
 void Metrics::recordLinkWait(std::chrono::microseconds Duration) {
--- a/persimmonquay/daemon/metrics.h
+++ b/persimmonquay/daemon/metrics.h
@@ -34,7 +34,13 @@
 enum class AttemptOutcome { Answered, Busy, NotRun, Lost, Abandoned };
 
 /// What the gate of the local upstream did with a call (`pq_gate_calls_total`).
-enum class GateAction { Started, Waited, Rejected, Cancelled };
+enum class GateAction { Started, Waited, Rejected, Cancelled, Resent };
+
+/// Kind of a request to the platform's store (`pq_store_requests_total`).
+enum class StoreRequest { Read, List, Append };
+
+/// How a request to the store ended (`pq_store_requests_total`).
+enum class StoreOutcome { Answered, Refused, NoResponse };
 
 /// The metrics of a node. docs/OPERATIONS.md lists their names. Recording is
 /// cheap enough to be done for every call. Thread-safe.
@@ -56,6 +62,7 @@
   void recordGateAction(GateAction Action);
   void recordGateWait(std::chrono::microseconds Duration);
   void recordStoreCall(bool Succeeded);
+  void recordStoreRequest(StoreRequest Kind, StoreOutcome Outcome);
   /// Records that the local upstream has ended while it ran calls.
   void recordUpstreamCrash();
   /// Records how long an answer waited for the link, until all of it had been
@@ -78,8 +85,9 @@
   std::array<prometheus::Counter *, 9> Requests{};
   std::array<std::array<prometheus::Counter *, 5>, 2> Attempts{};
   std::array<prometheus::Counter *, 2> Retries{};
-  std::array<prometheus::Counter *, 4> GateActions{};
+  std::array<prometheus::Counter *, 5> GateActions{};
   std::array<prometheus::Counter *, 2> StoreCalls{};
+  std::array<std::array<prometheus::Counter *, 3>, 3> StoreRequests{};
   prometheus::Counter *UpstreamCrashes;
   prometheus::Histogram *RequestSeconds;
   prometheus::Histogram *GateWaitSeconds;
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -941,6 +941,14 @@
       this->recordUnattended(*ActiveCall);
     if (WantsResend && IsReconnected && !ActiveCall->IsCancelled) {
       ++Resent;
+      this->Counters.recordGateAction(GateAction::Resent);
+      logLine(LogLevel::Info, "call is sent again to the upstream",
+              {{"request", ActiveCall->Request.request_id()},
+               {"instance", ActiveCall->Request.instance()},
+               {"state", !this->Upstream              ? "gone"
+                         : this->Upstream->draining() ? "draining"
+                                                      : "ready"},
+               {"reason", Result.Error}});
       this->Queue.recordResend(monoNow());
       this->ColdStart.recordSend(monoNow());
       continue;
