--- /dev/null
+++ b/testing/platform/silent_store_test.cc
@@ -0,0 +1,105 @@
+// Tests of the program as processes on loopback: a store that is silent for a
+// while, so that the calls that it has received are never answered.
+#include "testing/platform/small_mesh.h"
+#include <absl/strings/str_cat.h>
+#include <doctest/doctest.h>
+#include <string>
+#include <vector>
+
+namespace persimmonquay::testing {
+namespace {
+
+/// Generous for busy machines; a test that passes does not wait that long.
+constexpr Millis WaitTimeout{40000};
+
+/// Time after the store's return by which a change that was made while it was
+/// silent is active: the stability window of the smallest deployments.
+constexpr Millis ReturnBound{3000};
+
+/// Time after which the nodes have sent their next read, once they have read a
+/// record.
+constexpr Millis NextReadDelay{600};
+
+/// Three nodes of two data centres that follow the operator's records.
+class SilentStoreMesh {
+public:
+  SilentStoreMesh() {
+    this->Mesh.add("gallery");
+    this->Mesh.add("gallery");
+    this->Mesh.add("gallery", "v1", "there");
+    this->publishPath();
+    REQUIRE(this->Mesh.waitUntilReady());
+    REQUIRE(eventually(WaitTimeout, [this] { return this->isActive(); }));
+  }
+
+  /// Publishes a configuration with one more path.
+  void publishPath() {
+    this->Paths.push_back(absl::StrCat("/path-", this->Paths.size(), "/"));
+    this->Mesh.publish(10 + this->Paths.size(), "gallery", 3000, this->Paths);
+  }
+
+  /// Returns whether all nodes route the path that was published last.
+  bool isActive() {
+    for (const auto &Node : this->Mesh.nodes())
+      if (this->Mesh
+              .call(*Node, {.Target = this->Paths.back() + "1",
+                            .RequestId = absl::StrCat("call-", ++this->Calls)})
+              .Status == 404)
+        return false;
+    return true;
+  }
+
+  /// Makes the store silent for `Duration` while the nodes wait for a record,
+  /// and publishes a configuration meanwhile.
+  void playSilence(Millis Duration) {
+    this->Mesh.store().setSilent(true);
+    std::this_thread::sleep_for(Duration / 2);
+    this->publishPath();
+    std::this_thread::sleep_for(Duration / 2);
+    this->Mesh.store().setSilent(false);
+  }
+
+  /// Returns how long it takes from now on until all nodes have the
+  /// configuration that was published last.
+  Millis timeUntilActive() {
+    const MonoTime Start = monoNow();
+    REQUIRE(eventually(WaitTimeout, [this] { return this->isActive(); }));
+    return std::chrono::duration_cast<Millis>(monoNow() - Start);
+  }
+
+  SmallMesh Mesh;
+
+private:
+  std::vector<std::string> Paths;
+  int Calls = 0;
+};
+
+} // namespace
+
+// A read that a silent store had swallowed held up the next one for as long as
+// the store may hold a read open, whenever the store was back.
+TEST_CASE("a change made while the store is silent is active soon after its "
+          "return") {
+  for (const Millis Silence :
+       {Millis(100), Millis(700), Millis(1500), Millis(4500), Millis(9000)}) {
+    CAPTURE(Silence.count());
+    SilentStoreMesh Setup;
+    std::this_thread::sleep_for(NextReadDelay);
+    Setup.playSilence(Silence);
+    CHECK(Setup.timeUntilActive() < ReturnBound);
+  }
+}
+
+TEST_CASE("changes between silences of the store are active soon after each "
+          "return") {
+  SilentStoreMesh Setup;
+  for (int Round = 0; Round < 3; ++Round) {
+    std::this_thread::sleep_for(NextReadDelay);
+    Setup.playSilence(Millis(200));
+    // The nodes have no answer yet when the next silence begins.
+    Setup.playSilence(Millis(400));
+    CHECK(Setup.timeUntilActive() < ReturnBound);
+  }
+}
+
+} // namespace persimmonquay::testing
--- a/testing/platform/store_stand_in.cc
+++ b/testing/platform/store_stand_in.cc
@@ -2,6 +2,9 @@
 
 #include "testing/free_port.h"
 #include "testing/stand_ins/stand_in_server.h"
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/StreamSocket.h>
 #include <Poco/StreamCopier.h>
 #include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
@@ -59,6 +62,7 @@
 }
 
 StoreStandIn::~StoreStandIn() {
+  this->Stopping = true;
   this->setOutage(true);
   this->Server->stopAll(true);
 }
@@ -97,6 +101,29 @@
   this->TopicChanged.notify_all();
 }
 
+void StoreStandIn::setSilent(bool Enabled) {
+  const std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->Silent = Enabled;
+  this->TopicChanged.notify_all();
+}
+
+void StoreStandIn::swallow(Poco::Net::HTTPServerRequest &Request) {
+  constexpr long CheckMicros = 20000;
+  Poco::Net::StreamSocket &Socket =
+      dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(Request).socket();
+  ++this->SwallowedCalls;
+  try {
+    while (!this->Stopping && (!Socket.poll(Poco::Timespan(CheckMicros),
+                                            Poco::Net::Socket::SELECT_READ) ||
+                               Socket.available() > 0))
+      continue;
+  } catch (const Poco::Exception &) {
+    // The caller has reset the connection.
+  }
+  --this->SwallowedCalls;
+  Socket.shutdown();
+}
+
 void StoreStandIn::loseAppendResponses(int Count) {
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   this->ResponsesToLose = Count;
@@ -127,21 +154,28 @@
   std::string Body;
   Poco::StreamCopier::copyToString(Request.stream(), Body);
   Millis Delay{0};
+  bool IsSwallowed = false;
   {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     ++this->CallCount;
-    if (this->Outage) {
+    IsSwallowed = this->Silent;
+    if (this->Outage && !IsSwallowed) {
       sendText(Response, 503, "out");
       return;
     }
     Delay = this->ResponseDelay;
   }
+  if (IsSwallowed) {
+    this->swallow(Request);
+    return;
+  }
   std::this_thread::sleep_for(Delay);
   if (Target.starts_with("/-/log-append"))
     this->append(Query, Body, Response);
-  else if (Target.starts_with("/-/log-read"))
-    this->read(Query, Response);
-  else if (Target.starts_with("/-/log-newest"))
+  else if (Target.starts_with("/-/log-read")) {
+    if (!this->read(Query, Response))
+      this->swallow(Request);
+  } else if (Target.starts_with("/-/log-newest"))
     this->listNewest(Query, Response);
   else
     sendText(Response, 404, "unknown call");
@@ -205,7 +239,7 @@
            Json{{"offset", AppendOffset}, {"end", TopicLog.EndOffset}}.dump());
 }
 
-void StoreStandIn::read(const std::map<std::string, std::string> &Query,
+bool StoreStandIn::read(const std::map<std::string, std::string> &Query,
                         Poco::Net::HTTPServerResponse &Response) {
   const std::uint64_t ReadOffset = std::stoull(Query.at("from"));
   const auto MaxWait = std::chrono::milliseconds(
@@ -213,16 +247,18 @@
   std::unique_lock<std::mutex> Lock(this->Mutex);
   Topic &TopicLog = this->Topics[Query.at("topic")];
   this->TopicChanged.wait_for(Lock, MaxWait, [&] {
-    return this->Outage || TopicLog.EndOffset > ReadOffset ||
+    return this->Outage || this->Silent || TopicLog.EndOffset > ReadOffset ||
            TopicLog.FirstOffset > ReadOffset;
   });
+  if (this->Silent)
+    return false;
   if (this->Outage) {
     sendText(Response, 503, "out");
-    return;
+    return true;
   }
   if (ReadOffset < TopicLog.FirstOffset) {
     sendText(Response, 410, Json{{"first", TopicLog.FirstOffset}}.dump());
-    return;
+    return true;
   }
   std::string Body =
       bigEndian(TopicLog.EndOffset, 8) + bigEndian(TopicLog.FirstOffset, 8);
@@ -234,6 +270,7 @@
     Body += Stored.Key + Stored.Value;
   }
   sendText(Response, 200, Body);
+  return true;
 }
 
 void StoreStandIn::listNewest(const std::map<std::string, std::string> &Query,
--- a/testing/platform/store_stand_in.h
+++ b/testing/platform/store_stand_in.h
@@ -4,7 +4,9 @@
 
 #include "persimmonquay/base/time.h"
 #include <Poco/Net/HTTPServer.h>
+#include <atomic>
 #include <condition_variable>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -38,6 +40,14 @@
   /// During an outage every call gets status 503, and waiting reads return.
   void setOutage(bool IsOut);
 
+  /// While the store is silent, it swallows every call, those included that it
+  /// is holding: their connections stay open and get no response, also
+  /// afterwards. The operator's `put()` goes on.
+  void setSilent(bool Enabled);
+
+  /// Returns the number of swallowed calls that their callers still wait for.
+  std::size_t openSwallowedCalls() const { return this->SwallowedCalls; }
+
   /// Carries out the next `Count` appends but responds with status 504. Like a
   /// lost response, it does not tell whether the append was carried out.
   void loseAppendResponses(int Count);
@@ -73,9 +83,12 @@
 
   void serve(Poco::Net::HTTPServerRequest &Request,
              Poco::Net::HTTPServerResponse &Response);
+  /// Holds a call without a response until its caller closes the connection.
+  void swallow(Poco::Net::HTTPServerRequest &Request);
   void append(const std::map<std::string, std::string> &Query,
               const std::string &Body, Poco::Net::HTTPServerResponse &Response);
-  void read(const std::map<std::string, std::string> &Query,
+  /// Returns false if the store has turned silent while it held the call.
+  bool read(const std::map<std::string, std::string> &Query,
             Poco::Net::HTTPServerResponse &Response);
   void listNewest(const std::map<std::string, std::string> &Query,
                   Poco::Net::HTTPServerResponse &Response);
@@ -90,6 +103,9 @@
   std::condition_variable TopicChanged;
   std::map<std::string, Topic> Topics;
   bool Outage = false;
+  bool Silent = false;
+  std::atomic<bool> Stopping = false;
+  std::atomic<std::size_t> SwallowedCalls = 0;
   Millis ResponseDelay{0};
   int ResponsesToLose = 0;
   int AppendsToDelay = 0;
