daemon: few nodes at a time call a store that is silent (CONFIG)

Cause: a node followed the operator's records whenever fewer than two nodes above it did. In a silence no node does, so that all nodes of all data centres called the store, again and again, and all of them read the whole configuration when it was back: at 11,000 nodes, 11,000 calls a second to a store that has just returned. Change: FollowerTurns. The two nodes that rank highest among those that can be reached always try; the others take turns of 1.5 s, four nodes at a time, and one that has followed goes on trying until two above it do. Nodes that are gone without notice no longer count. At 579 nodes in each of 19 data centres at most 6 of each, 10 for a moment, call the store: 114 to 190. Weighed: doubling the number of nodes that try (ends with all of them in a long silence), only the two highest (a store that turns these away would be followed by nobody).

--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -87,9 +87,6 @@
 /// Interval at which the traffic with other data centres is logged.
 constexpr Millis TrafficLogInterval{10000};
 
-/// Number of nodes of a data centre that follow the operator's records. There
-/// is a second one so that the loss of one causes no delay.
-constexpr std::size_t FollowersPerDataCentre = 2;
 constexpr char FollowRendezvousKey[] = "follow";
 
 /// Time after the start within which a node learns its configuration, the other
@@ -388,7 +385,7 @@
   return Result.empty() ? Remote : Result;
 }
 
-bool MeshNode::shouldFollowStore() const {
+bool MeshNode::shouldFollowStore() {
   if (this->Stopping)
     return false;
   if (this->ConfigSync.isStale())
@@ -401,23 +398,30 @@
         rendezvousWeight(internal::FollowRendezvousKey, Entry.node()));
   };
   const auto OwnRank = Rank(this->Directory.ownEntry());
-  std::size_t HigherRanked = 0;
-  std::size_t ActiveFollowers = 0;
+  FollowerTurns::Standing Standing;
+  Standing.IsFollowing = this->FollowsStore;
+  std::size_t KnownHigher = 0;
   for (const proto::NodeEntry *Entry : this->Directory.activePeers()) {
-    if (Entry->data_centre() != this->Settings.data_centre() ||
-        Rank(*Entry) < OwnRank)
+    if (Entry->data_centre() != this->Settings.data_centre())
       continue;
-    ++HigherRanked;
+    const bool IsHigher = Rank(*Entry) >= OwnRank;
+    KnownHigher += IsHigher;
+    // Nodes that have gone without notice stay in the directory.
     const std::shared_ptr<PeerLink> Link = this->Router.linkTo(Entry->node());
-    ActiveFollowers +=
-        this->NodeGossip.followsStore(Entry->node()) && Link && Link->isUp();
+    if (!Link || !Link->isUp())
+      continue;
+    ++Standing.Nodes;
+    Standing.HigherRanked += IsHigher;
+    Standing.HigherFollowers +=
+        IsHigher && this->NodeGossip.followsStore(Entry->node());
   }
+  const MonoTime Now = monoNow();
   // Right after the start, other nodes may follow the records without this node
   // having heard of it yet.
-  if (HigherRanked >= internal::FollowersPerDataCentre &&
-      monoNow() - this->StartedAt < internal::FollowerSettleTime)
+  if (KnownHigher >= FollowerTurns::Followers &&
+      Now - this->StartedAt < internal::FollowerSettleTime)
     return false;
-  return ActiveFollowers < internal::FollowersPerDataCentre;
+  return this->FollowTurns.shouldFollow(Standing, Now);
 }
 
 void MeshNode::setFollowsStore(bool Enabled) {
--- a/persimmonquay/daemon/mesh_node.h
+++ b/persimmonquay/daemon/mesh_node.h
@@ -15,6 +15,7 @@
 #include "persimmonquay/daemon/upstream_gate.h"
 #include "persimmonquay/fleet/earlier_run.h"
 #include "persimmonquay/fleet/evacuation_table.h"
+#include "persimmonquay/fleet/follower_turns.h"
 #include "persimmonquay/fleet/node_directory.h"
 #include "persimmonquay/fleet/upstream_registry.h"
 #include "persimmonquay/rollout/rollout_table.h"
@@ -88,6 +89,12 @@
   /// it does, the other nodes of its data centre rely on it for changes.
   void setFollowsStore(bool Enabled);
 
+  /// Decides whether this node should follow the operator's records now: unless
+  /// enough other nodes of its data centre do, or it is the turn of others to
+  /// try (see `FollowerTurns`); in any case if the others fail to deliver a
+  /// newer configuration.
+  bool shouldFollowStore();
+
   /// Adds a rollout order and passes a new one on to the other nodes.
   void addRolloutOrder(const proto::RolloutOrder &Order);
 
@@ -129,11 +136,6 @@
   /// Returns whether callers may be sent to this node.
   bool isReady() const;
 
-  /// Returns whether this node should follow the operator's records: it should
-  /// unless enough other nodes of its data centre do, or if those fail to
-  /// deliver a newer configuration.
-  bool shouldFollowStore() const;
-
   /// Returns this node's entry as it should be stored: it lets other nodes find
   /// this one, and lets this node find its upstream again after a restart and
   /// remember those that have departed.
@@ -230,6 +232,7 @@
   Millis LongestIdleTimeout{0};
   bool Stopping = false;
   bool FollowsStore = false;
+  FollowerTurns FollowTurns;
   EarlierRun KnownHistory;
   /// When the stored list of nodes was first read.
   std::optional<MonoTime> StoredNodesReadAt;
--- a/testing/platform/silent_store_test.cc
+++ b/testing/platform/silent_store_test.cc
@@ -2,6 +2,7 @@
 // while, so that the calls that it has received are never answered.
 #include "testing/platform/small_mesh.h"
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <string>
 #include <vector>
@@ -102,4 +103,43 @@
   }
 }
 
+// Every node of a data centre whose followers failed called the store, and all
+// of them read the whole configuration when it was back.
+TEST_CASE("few nodes at a time call a store that is silent") {
+  constexpr int Nodes = 16;
+  // Those that always try, those whose turn it is, and those whose turn has
+  // just ended.
+  constexpr std::size_t MaxCallers = 10;
+  SmallMesh Mesh;
+  for (int I = 0; I < Nodes; ++I)
+    Mesh.add("gallery");
+  Mesh.publish(1, "gallery");
+  REQUIRE(Mesh.waitUntilReady());
+  // All have stored their entries, and have left the first phase in which
+  // they may all follow.
+  std::this_thread::sleep_for(Millis(5000));
+  Mesh.store().setSilent(true);
+  std::size_t MostCallers = 0;
+  const MonoTime End = monoNow() + Millis(8000);
+  while (monoNow() < End) {
+    MostCallers = std::max(MostCallers, Mesh.store().openSwallowedCalls());
+    std::this_thread::sleep_for(Millis(5));
+  }
+  CHECK(MostCallers >= 2);
+  CHECK(MostCallers <= MaxCallers);
+  Mesh.publish(2, "gallery", 3000, {"/new/"});
+  Mesh.store().setSilent(false);
+  const MonoTime Return = monoNow();
+  int Calls = 0;
+  CHECK(eventually(WaitTimeout, [&] {
+    return std::all_of(
+        Mesh.nodes().begin(), Mesh.nodes().end(), [&](const auto &Node) {
+          return Mesh.call(*Node, {.Target = "/new/1",
+                                   .RequestId = absl::StrCat("new-", ++Calls)})
+                     .Status != 404;
+        });
+  }));
+  CHECK(monoNow() - Return < ReturnBound);
+}
+
 } // namespace persimmonquay::testing
