--- a/testing/platform/odd_entries_test.cc
+++ b/testing/platform/odd_entries_test.cc
@@ -189,4 +189,15 @@
     }));
 }
 
+TEST_CASE("a configuration is applied although odd ones follow it at once") {
+  RobustNodes Setup;
+  Setup.Mesh.publish(20, "gallery", 3000, {"/later/"});
+  for (const char *Value : {"{\"version\":1e300}", "\xff\xfe", "{}"})
+    Setup.Mesh.store().put("keyed.op", "config", Value);
+  for (const auto &Node : Setup.Mesh.nodes())
+    CHECK(eventually(WaitTimeout, [&] {
+      return Setup.Mesh.call(*Node, {.Target = "/later/1"}).Status == 200;
+    }));
+}
+
 } // namespace persimmonquay::testing
--- a/testing/platform/silent_store_test.cc
+++ b/testing/platform/silent_store_test.cc
@@ -3,6 +3,7 @@
 #include "testing/platform/small_mesh.h"
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <cstdint>
 #include <doctest/doctest.h>
 #include <string>
 #include <vector>
@@ -35,8 +36,16 @@
 
   /// Publishes a configuration with one more path.
   void publishPath() {
-    this->Paths.push_back(absl::StrCat("/path-", this->Paths.size(), "/"));
-    this->Mesh.publish(10 + this->Paths.size(), "gallery", 3000, this->Paths);
+    this->Paths.push_back(absl::StrCat("/path-", ++this->Version, "/"));
+    this->Mesh.publish(this->Version, "gallery", 3000, this->Paths);
+  }
+
+  /// Publishes a configuration with `Count` paths, the last of which is new.
+  void publishPaths(int Count) {
+    this->Paths.resize(1);
+    while (static_cast<int>(this->Paths.size()) + 1 < Count)
+      this->Paths.push_back(absl::StrCat("/more-", this->Paths.size(), "/"));
+    this->publishPath();
   }
 
   /// Returns whether all nodes route the path that was published last.
@@ -72,6 +81,7 @@
 
 private:
   std::vector<std::string> Paths;
+  std::uint64_t Version = 10;
   int Calls = 0;
 };
 
@@ -103,6 +113,21 @@
   }
 }
 
+// The nodes read every version that they had missed, one response after the
+// other, so that they were the later the longer the store had been silent.
+TEST_CASE("a change that follows many others in a silence is active soon") {
+  constexpr int Versions = 120;
+  constexpr int PathsOfVersion = 1500;
+  SilentStoreMesh Setup;
+  std::this_thread::sleep_for(NextReadDelay);
+  Setup.Mesh.store().setSilent(true);
+  std::this_thread::sleep_for(Millis(2500));
+  for (int Version = 0; Version < Versions; ++Version)
+    Setup.publishPaths(PathsOfVersion);
+  Setup.Mesh.store().setSilent(false);
+  CHECK(Setup.timeUntilActive() < ReturnBound);
+}
+
 // Every node of a data centre whose followers failed called the store, and all
 // of them read the whole configuration when it was back.
 TEST_CASE("few nodes at a time call a store that is silent") {
--- a/testing/platform/store_stand_in.cc
+++ b/testing/platform/store_stand_in.cc
@@ -20,6 +20,9 @@
 
 constexpr std::size_t MaxPageItems = 500;
 
+/// Size of the response to a read; further records need another one.
+constexpr std::size_t MaxReadBytes = 1U << 20U;
+
 std::string bigEndian(std::uint64_t Value, int Bytes) {
   std::string Result;
   for (int Shift = (Bytes - 1) * 8; Shift >= 0; Shift -= 8)
@@ -265,6 +268,8 @@
   for (const Record &Stored : TopicLog.Records) {
     if (Stored.Offset < ReadOffset)
       continue;
+    if (Body.size() + Stored.Key.size() + Stored.Value.size() > MaxReadBytes)
+      break;
     Body += bigEndian(1 + Stored.Key.size() + Stored.Value.size(), 4);
     Body.push_back(static_cast<char>(Stored.Key.size()));
     Body += Stored.Key + Stored.Value;
