--- a/persimmonquay/daemon/mesh_node.h
+++ b/persimmonquay/daemon/mesh_node.h
@@ -136,6 +136,9 @@
   /// Returns whether callers may be sent to this node.
   bool isReady() const;
 
+  /// Returns the number of known nodes, this one included.
+  std::size_t countNodes() const { return this->Directory.entries().size(); }
+
   /// Returns this node's entry as it should be stored: it lets other nodes find
   /// this one, and lets this node find its upstream again after a restart and
   /// remember those that have departed.
--- /dev/null
+++ b/testing/platform/store_feed_test.cc
@@ -0,0 +1,162 @@
+// Tests of the connection to the store within the test's process: how often it
+// calls a store that doesn't answer.
+#include "platform/store_feed.h"
+#include "testing/platform/store_stand_in.h"
+#include <doctest/doctest.h>
+#include <string>
+#include <utility>
+
+namespace persimmonquay::testing {
+namespace {
+
+using platform::StoreFeed;
+
+/// Node count of the size that the mesh grows to.
+constexpr std::size_t ManyNodes = 11000;
+
+/// A feed of a node without peers, and the store.
+class FeedFixture {
+public:
+  FeedFixture()
+      : Feed(
+            this->Context,
+            Tcp::endpoint(asio::ip::address_v4::loopback(), this->Store.port()),
+            this->callbacks()) {
+    this->Entry.set_node("node-1");
+    this->Entry.set_address("127.0.0.1");
+    this->Entry.set_link_port(1);
+    // The feed doesn't wait for a heartbeat then.
+    this->Entry.mutable_upstream()->set_instance("i-1");
+  }
+
+  void runFor(Millis Duration) { this->Context.run_for(Duration); }
+
+  /// Returns the number of calls that the store gets in `Duration`.
+  std::uint64_t callsIn(Millis Duration) {
+    const std::uint64_t Before = this->Store.callCount();
+    this->runFor(Duration);
+    return this->Store.callCount() - Before;
+  }
+
+  /// Returns whether the store holds the current entry.
+  bool isEntryStored() {
+    return this->Store.newestValue("keyed.nodes", "node-1") ==
+           this->Entry.SerializeAsString();
+  }
+
+  asio::io_context Context;
+  StoreStandIn Store;
+  proto::NodeEntry Entry;
+  bool ShouldFollow = false;
+  std::size_t NodeCount = 1;
+  StoreFeed Feed;
+
+private:
+  StoreFeed::Callbacks callbacks() {
+    StoreFeed::Callbacks Result;
+    Result.OnConfiguration = [](const proto::MeshConfiguration &) {};
+    Result.OnRolloutOrder = [](const proto::RolloutOrder &) {};
+    Result.OnEvacuation = [](const proto::Evacuation &) {};
+    Result.OnEvacuationList = [](const std::vector<proto::Evacuation> &,
+                                 std::uint64_t) {};
+    Result.OnNodeEntries = [](const std::vector<proto::NodeEntry> &) {};
+    Result.OnOwnStoredEntry = [](const proto::NodeEntry &) {};
+    Result.EntryToStore = [this] { return this->Entry; };
+    Result.OnStoreCall = [](bool) {};
+    Result.OnStoreRequest = [](StoreRequest, StoreOutcome) {};
+    Result.ShouldFollow = [this] { return this->ShouldFollow; };
+    Result.CountNodes = [this] { return this->NodeCount; };
+    Result.OnFollowing = [](bool) {};
+    return Result;
+  }
+};
+
+} // namespace
+
+// Each of thousands of nodes that wait for the store called it once a second,
+// however long it had been down.
+TEST_CASE("a node calls a store that stays down ever more rarely") {
+  for (const bool IsSilent : {false, true}) {
+    CAPTURE(IsSilent);
+    FeedFixture Fixture;
+    Fixture.NodeCount = ManyNodes;
+    if (IsSilent)
+      Fixture.Store.setSilent(true);
+    else
+      Fixture.Store.setOutage(true);
+    Fixture.Feed.start("node-1", /*IsFirstStart=*/false);
+    Fixture.runFor(Millis(12000));
+    // The interval is an eighth to a quarter of the time that has passed.
+    CHECK(Fixture.callsIn(Millis(8000)) <= 5);
+  }
+}
+
+// After a loss of power nobody knows how many others wait for the store.
+TEST_CASE("a node that knows no other one calls a store that stays down ever "
+          "more rarely") {
+  FeedFixture Fixture;
+  Fixture.ShouldFollow = true;
+  Fixture.Store.setOutage(true);
+  Fixture.Feed.start("node-1", /*IsFirstStart=*/false);
+  Fixture.runFor(Millis(12000));
+  // The list of nodes and the operator's records.
+  CHECK(Fixture.callsIn(Millis(8000)) <= 2 * 5);
+}
+
+TEST_CASE("an entry is stored soon after a silence of the store") {
+  for (const Millis Silence : {Millis(300), Millis(1500), Millis(4500)}) {
+    CAPTURE(Silence.count());
+    FeedFixture Fixture;
+    Fixture.Store.setSilent(true);
+    Fixture.Feed.start("node-1", /*IsFirstStart=*/false);
+    Fixture.runFor(Silence);
+    Fixture.Store.setSilent(false);
+    // Two calls, one of which may have been sent before the return.
+    Fixture.runFor(Millis(2500));
+    CHECK(Fixture.isEntryStored());
+  }
+}
+
+// The list of nodes is read again only by followers. One that failed to do so
+// went on trying after it had stopped following, so that in a long silence
+// more and more nodes called the store.
+TEST_CASE("a node that no longer follows reads no list of nodes") {
+  FeedFixture Fixture;
+  Fixture.ShouldFollow = true;
+  Fixture.Feed.start("node-1", /*IsFirstStart=*/false);
+  Fixture.runFor(Millis(2000));
+  CHECK(Fixture.isEntryStored());
+  Fixture.Store.setSilent(true);
+  // Long enough for the next list to have been tried and given up.
+  Fixture.runFor(Millis(16500));
+  Fixture.ShouldFollow = false;
+  Fixture.runFor(Millis(2500));
+  CHECK(Fixture.callsIn(Millis(5000)) == 0);
+}
+
+TEST_CASE("a departure is stored at once although earlier attempts failed") {
+  FeedFixture Fixture;
+  Fixture.NodeCount = ManyNodes;
+  Fixture.Feed.start("node-1", /*IsFirstStart=*/false);
+  Fixture.runFor(Millis(2000));
+  REQUIRE(Fixture.isEntryStored());
+  const auto Store = [&Fixture] {
+    asio::co_spawn(
+        Fixture.Context,
+        [&Fixture]() -> asio::awaitable<void> {
+          co_await Fixture.Feed.storeEntry(Millis(400));
+        },
+        asio::detached);
+  };
+  Fixture.Store.setOutage(true);
+  Fixture.Entry.add_departed_upstreams()->set_instance("i-1");
+  Store();
+  Fixture.runFor(Millis(10000));
+  Fixture.Store.setOutage(false);
+  Fixture.Entry.add_departed_upstreams()->set_instance("i-2");
+  Store();
+  Fixture.runFor(Millis(400));
+  CHECK(Fixture.isEntryStored());
+}
+
+} // namespace persimmonquay::testing
