--- a/testing/platform/store_feed_test.cc
+++ b/testing/platform/store_feed_test.cc
@@ -159,4 +159,55 @@
   CHECK(Fixture.isEntryStored());
 }
 
+/// Stores the end of a rollout of each service until that has succeeded, as
+/// the driver of the rollouts does. Returns the number of failed attempts.
+int storeEnds(FeedFixture &Fixture, const std::vector<std::string> &Services,
+              Millis Timeout) {
+  int Failures = 0;
+  std::size_t Stored = 0;
+  for (const std::string &Service : Services)
+    asio::co_spawn(
+        Fixture.Context,
+        [&Fixture, &Failures, &Stored, Service]() -> asio::awaitable<void> {
+          proto::RolloutProgress Progress;
+          Progress.mutable_order()->set_service(Service);
+          Progress.mutable_order()->set_target_version("v2");
+          Progress.set_state(proto::COMPLETED);
+          while (!(co_await Fixture.Feed.writeRolloutStatus(Progress)).ok()) {
+            ++Failures;
+            asio::steady_timer Pause(Fixture.Context, Millis(300));
+            co_await Pause.async_wait(NoThrow);
+          }
+          ++Stored;
+        },
+        asio::detached);
+  const MonoTime End = monoNow() + Timeout;
+  while (Stored < Services.size() && monoNow() < End)
+    Fixture.runFor(Millis(10));
+  CHECK(Stored == Services.size());
+  return Failures;
+}
+
+// The calls for several rollouts with the same driver got mixed up on one
+// connection, so that none of them found its response.
+TEST_CASE("ends of several rollouts are stored at the same time") {
+  FeedFixture Fixture;
+  CHECK(storeEnds(Fixture, {"a", "b", "c", "d"}, Millis(2000)) == 0);
+  for (const char *Service : {"a", "b", "c", "d"})
+    CHECK(Fixture.Store.newestValue("keyed.status",
+                                    std::string("rollout/") + Service));
+}
+
+TEST_CASE("ends of rollouts are stored soon after a silence of the store") {
+  for (const Millis Silence : {Millis(300), Millis(1500), Millis(4500)}) {
+    CAPTURE(Silence.count());
+    FeedFixture Fixture;
+    Fixture.Store.setSilent(true);
+    asio::steady_timer Return(Fixture.Context, Silence);
+    Return.async_wait(
+        [&Fixture](const ErrorCode &) { Fixture.Store.setSilent(false); });
+    storeEnds(Fixture, {"a", "b", "c"}, Silence + Millis(2500));
+  }
+}
+
 } // namespace persimmonquay::testing
