daemon: a call whose answer is lost is not sent again to an upstream that leaves (DRAIN)

An upstream that had announced its departure got a call later than its drain timeout, ended while it ran it, and the caller got 502 although another upstream was idle. Cause: the gate sends an idempotent call once more if its connection breaks after it had been idle. Whether the upstream leaves was only asked at the admission, which may be seconds ago. Change: departureReason, the part of the admission's checks that says that no call may be sent to the upstream any more, is asked again right before a call is sent again, after the new connection has been opened. To an upstream that leaves none is opened: nothing could be learned from it, and the caller's node retries sooner. A stopping node still ends what it has admitted.

--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -202,10 +202,7 @@
 UpstreamGate::~UpstreamGate() = default;
 
 std::optional<std::string>
-UpstreamGate::unavailableReason(const proto::CallRequest &Request) const {
-  if (this->Stopping ||
-      this->mightBeCut(Request, monoNow() + Millis(Request.remaining_ms())))
-    return std::string(StoppingReason);
+UpstreamGate::departureReason(const proto::CallRequest &Request) const {
   if (this->Evacuated)
     return std::string(EvacuatedReason);
   if (!this->Upstream)
@@ -215,6 +212,16 @@
   if (this->Upstream->service() != Request.service() ||
       this->Upstream->instance() != Request.instance())
     return "another upstream has taken the place";
+  return std::nullopt;
+}
+
+std::optional<std::string>
+UpstreamGate::unavailableReason(const proto::CallRequest &Request) const {
+  if (this->Stopping ||
+      this->mightBeCut(Request, monoNow() + Millis(Request.remaining_ms())))
+    return std::string(StoppingReason);
+  if (std::optional<std::string> Reason = this->departureReason(Request))
+    return Reason;
   if (monoNow() < this->UnreachableUntil)
     return "the upstream can't be reached";
   return std::nullopt;
@@ -898,15 +905,13 @@
 
 bool UpstreamGate::mayResend(const Call &ActiveCall) const {
   const MonoTime Now = monoNow();
-  const std::optional<Millis> IdleBeforeUse =
-      ActiveCall.Connection->IdleBeforeUse;
   const bool MayCrashUpstream =
       !this->Crashes.empty() &&
       this->Crashes
               .decide(internal::fingerprintOf(ActiveCall.Request), wallNow())
               .Verdict != CrashVerdict::Run;
-  return IdleBeforeUse && *IdleBeforeUse >= internal::MinIdleToResend &&
-         ActiveCall.Request.idempotent() && !ActiveCall.IsCancelled &&
+  return ActiveCall.Request.idempotent() && !ActiveCall.IsCancelled &&
+         !this->departureReason(ActiveCall.Request) &&
          Now < ActiveCall.Deadline && Now >= this->ResendPausedUntil &&
          !MayCrashUpstream && this->ColdStart.mayStart(0, Now);
 }
@@ -925,29 +930,33 @@
   while (!ConnectError && !ActiveCall->IsCancelled) {
     ExchangeResult Result = co_await this->exchange(*ActiveCall);
     const bool IsBroken = Result.End == ExchangeResult::EndState::Broken;
-    const bool WantsResend = IsBroken && !Result.ResponseStarted &&
-                             Resent == 0 && this->mayResend(*ActiveCall);
+    const std::optional<Millis> IdleTime =
+        ActiveCall->Connection->IdleBeforeUse;
+    // The upstream may have closed the idle connection before it got the call.
+    const bool MayNotHaveArrived = IsBroken && !Result.ResponseStarted &&
+                                   IdleTime &&
+                                   *IdleTime >= internal::MinIdleToResend;
     if (IsBroken && !Result.ResponseStarted && Resent > 0)
       this->ResendPausedUntil = monoNow() + internal::ResendBackoff;
     // Tells an upstream that has ended from one that has lost a connection. The
-    // new connection replaces the broken one.
+    // new connection replaces the broken one. One that leaves may end at any
+    // time and gets no further call.
+    const bool IsLeaving = !this->Upstream || this->Upstream->draining();
     bool IsReconnected = false;
-    if (IsBroken && !ActiveCall->isAborted()) {
+    if (IsBroken && !IsLeaving && !ActiveCall->isAborted()) {
       IsReconnected = !co_await this->openConnection(*ActiveCall);
       if (!IsReconnected && !ActiveCall->isAborted())
         this->recordCrash();
     }
     if (IsBroken && (IsReconnected || ActiveCall->isAborted()))
       this->recordUnattended(*ActiveCall);
-    if (WantsResend && IsReconnected && !ActiveCall->IsCancelled) {
+    if (MayNotHaveArrived && Resent == 0 && IsReconnected &&
+        this->mayResend(*ActiveCall)) {
       ++Resent;
       this->Counters.recordGateAction(GateAction::Resent);
       logLine(LogLevel::Info, "call is sent again to the upstream",
               {{"request", ActiveCall->Request.request_id()},
                {"instance", ActiveCall->Request.instance()},
-               {"state", !this->Upstream              ? "gone"
-                         : this->Upstream->draining() ? "draining"
-                                                      : "ready"},
                {"reason", Result.Error}});
       this->Queue.recordResend(monoNow());
       this->ColdStart.recordSend(monoNow());
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -175,6 +175,11 @@
   struct Call;
   struct ExchangeResult;
 
+  /// Returns why the call may not be sent to the upstream that it names, or
+  /// none if it may: that upstream leaves or has left, or its data centre is
+  /// evacuated. Has to be asked right before a call is sent, however long ago
+  /// it was admitted.
+  std::optional<std::string> departureReason(const proto::CallRequest &) const;
   /// Returns why the upstream cannot take the call, or none if it can.
   std::optional<std::string>
   unavailableReason(const proto::CallRequest &) const;
@@ -220,8 +225,7 @@
   /// Runs a started call, including one resend, and replies.
   asio::awaitable<void> run(std::shared_ptr<Call> ActiveCall);
   /// Returns whether a call whose connection broke without a response may be
-  /// sent again: it is idempotent, and the connection had been idle long enough
-  /// to have been closed by the upstream.
+  /// sent again now.
   bool mayResend(const Call &ActiveCall) const;
   /// Takes a pooled connection or opens a new one.
   asio::awaitable<ErrorCode> connect(Call &ActiveCall);
--- a/testing/platform/departures_test.cc
+++ b/testing/platform/departures_test.cc
@@ -2,9 +2,12 @@
 // has been confirmed while the store is down.
 #include "testing/platform/small_mesh.h"
 #include <absl/strings/str_cat.h>
+#include <array>
 #include <atomic>
 #include <csignal>
 #include <doctest/doctest.h>
+#include <string>
+#include <thread>
 
 namespace persimmonquay::testing {
 namespace {
@@ -259,4 +262,77 @@
   }
 }
 
+// The node beside an upstream sent such a call to it once more, however long
+// ago it had confirmed the departure.
+TEST_CASE("a call whose answer is lost goes to another upstream if the first "
+          "one leaves") {
+  for (const std::string Announcement :
+       {"heartbeat", "deregistration", "response"}) {
+    CAPTURE(Announcement);
+    SmallMesh Mesh;
+    Mesh.add("gallery");
+    Mesh.add("gallery");
+    Mesh.publish(5, "gallery");
+    REQUIRE(Mesh.waitUntilReady());
+    std::atomic<int> FirstRunner = -1;
+    std::atomic<bool> IsAnswerLost = false;
+    std::atomic<bool> IsLeaving = false;
+    std::array<std::atomic<int>, 2> SlowCalls{};
+    for (int I = 0; I < 2; ++I)
+      Mesh.nodes()[static_cast<std::size_t>(I)]->Upstream->setHandler(
+          [&, I](const ReceivedRequest &Request) {
+            const std::string Response = responseTo(Request);
+            if (Request.Target == "/views/notice" && I == FirstRunner &&
+                IsLeaving)
+              return std::string(Response).insert(Response.find("\r\n") + 2,
+                                                  "Server-Leaving: 1\r\n");
+            if (Request.Target != "/views/slow")
+              return Response;
+            ++SlowCalls[static_cast<std::size_t>(I)];
+            int Nobody = -1;
+            if (!FirstRunner.compare_exchange_strong(Nobody, I))
+              return Response;
+            eventually(WaitTimeout, [&] { return IsAnswerLost.load(); });
+            return std::string();
+          });
+    // Both nodes hold a connection, which is idle for long enough then that a
+    // call on it may be repeated.
+    REQUIRE(eventually(WaitTimeout, [&] {
+      for (const auto &Node : Mesh.nodes())
+        Mesh.call(*Node, {.RequestId = "warm"});
+      return !Mesh.nodes()[0]->Upstream->received().empty() &&
+             !Mesh.nodes()[1]->Upstream->received().empty();
+    }));
+    std::this_thread::sleep_for(Millis(300));
+    CallResponse Response;
+    std::thread Caller([&] {
+      Response = Mesh.call(*Mesh.nodes()[0],
+                           {.Target = "/views/slow", .RequestId = "slow"});
+    });
+    const bool IsRunning =
+        eventually(WaitTimeout, [&] { return FirstRunner >= 0; });
+    const auto Leaver = static_cast<std::size_t>(FirstRunner.load());
+    if (IsRunning) {
+      IsLeaving = true;
+      TestNode &Node = *Mesh.nodes()[Leaver];
+      if (Announcement == "heartbeat")
+        CHECK(Mesh.heartbeat(Node, "draining") == 200);
+      else if (Announcement == "deregistration")
+        CHECK(Mesh.deregister(Node) == 200);
+      else
+        CHECK(eventually(WaitTimeout, [&] {
+          return Mesh
+              .call(Node, {.Target = "/views/notice", .RequestId = "notice"})
+              .Headers.contains("server-leaving");
+        }));
+    }
+    IsAnswerLost = true;
+    Caller.join();
+    REQUIRE(IsRunning);
+    CHECK(Response.Status == 200);
+    CHECK(SlowCalls[Leaver] == 1);
+    CHECK(SlowCalls[1 - Leaver] == 1);
+  }
+}
+
 } // namespace persimmonquay::testing
