daemon: an admitted call is not sent once its upstream leaves (DRAIN)

A call could reach an upstream after its departure had been confirmed, by as much as the opening of a connection takes (0.4 s at most, or as long as the node was paused meanwhile). Cause: the same as for calls that are sent again: the departure was asked for at the admission only, and between that and the first byte lies at least one turn of the event loop, the opening of a connection, or the end of another call that held the slot (after another incarnation had registered, the queue is kept). Change: the gate asks departureReason right before it sends the first attempt as well, and rejects the call as not run, so that the caller's node offers it elsewhere at once. An evacuation stops calls that wait and calls that would be sent again, not those that have a slot, as before. Tests in leaving_upstream_test, failing before: a departure right after the admission (with and without a connection), while the connection is opened (idempotent or not), and while the call waits for a slot; 3 departures each, the calls were sent.

--- a/persimmonquay/daemon/leaving_upstream_test.cc
+++ b/persimmonquay/daemon/leaving_upstream_test.cc
@@ -36,9 +36,16 @@
       {"it is gone",
        [](GateFixture &Fixture) { Fixture.Gate.setUpstream(std::nullopt); }},
       {"another one has taken its place",
-       [](GateFixture &Fixture) { Fixture.Gate.setUpstream(entryOf("i-2")); }},
-      {"its data centre is evacuated",
-       [](GateFixture &Fixture) { Fixture.Gate.setEvacuated(true); }}};
+       [](GateFixture &Fixture) { Fixture.Gate.setUpstream(entryOf("i-2")); }}};
+  return Result;
+}
+
+/// Returns what also forbids to send a call again.
+std::map<std::string, Departure> departuresAndEvacuation() {
+  std::map<std::string, Departure> Result = departures();
+  Result["its data centre is evacuated"] = [](GateFixture &Fixture) {
+    Fixture.Gate.setEvacuated(true);
+  };
   return Result;
 }
 
@@ -58,13 +65,21 @@
   return Fixture.Replies[Id];
 }
 
+void checkNotSent(GateFixture &Fixture, const std::string &Id) {
+  const proto::CallReply &Reply = awaitReply(Fixture, Id);
+  CHECK(Reply.outcome() == proto::NOT_RUN);
+  CHECK_FALSE(Reply.arrived());
+  CHECK_FALSE(Reply.reason().empty());
+  CHECK(Fixture.receivedCount(Id) == 0);
+}
+
 } // namespace
 
 // The first attempt may have run, so that the call's caller must not be told
 // otherwise.
 TEST_CASE("a call whose answer is lost is not sent again to an upstream that "
           "leaves") {
-  for (const auto &[Name, Depart] : departures()) {
+  for (const auto &[Name, Depart] : departuresAndEvacuation()) {
     CAPTURE(Name);
     GateFixture Fixture;
     startUnanswered(Fixture, "a");
@@ -94,7 +109,7 @@
           "stops it") {
   constexpr int MaxHandlers = 6;
   int DeparturesBeforeResend = 0;
-  for (const auto &[Name, Depart] : departures())
+  for (const auto &[Name, Depart] : departuresAndEvacuation())
     for (int Handlers = 0; Handlers <= MaxHandlers; ++Handlers) {
       CAPTURE(Name);
       CAPTURE(Handlers);
@@ -116,6 +131,53 @@
   CHECK(DeparturesBeforeResend >= 2 * static_cast<int>(departures().size()));
 }
 
+TEST_CASE("a call that has been admitted is not sent once the upstream "
+          "leaves") {
+  for (const auto &[Name, Depart] : departures())
+    for (const bool HasConnection : {false, true}) {
+      CAPTURE(Name);
+      CAPTURE(HasConnection);
+      GateFixture Fixture;
+      if (HasConnection)
+        Fixture.call("warm");
+      Fixture.submit("a");
+      Depart(Fixture);
+      checkNotSent(Fixture, "a");
+      CHECK(Fixture.Gate.load().running() == 0);
+    }
+}
+
+TEST_CASE("a departure while a call's connection is opened stops the call") {
+  for (const auto &[Name, Depart] : departures())
+    for (const char *Method : {"GET", "POST"}) {
+      CAPTURE(Name);
+      GateFixture Fixture;
+      Fixture.runFor(Millis(20));
+      Fixture.submit("a", Millis(5000), Method, /*IsIdempotent=*/false);
+      // It begins to connect.
+      Fixture.runHandlers(1);
+      Depart(Fixture);
+      checkNotSent(Fixture, "a");
+    }
+}
+
+TEST_CASE("a call that waits for a slot is not sent once the upstream "
+          "leaves") {
+  for (const auto &[Name, Depart] : departuresAndEvacuation()) {
+    CAPTURE(Name);
+    GateFixture Fixture(/*Slots=*/1);
+    Fixture.call("warm");
+    Fixture.Scripts["a"] = {};
+    Fixture.submit("a");
+    Fixture.runUntil([&] { return Fixture.receivedCount("a") == 1; });
+    Fixture.submit("b");
+    Depart(Fixture);
+    Fixture.closeConnections();
+    checkNotSent(Fixture, "b");
+    awaitReply(Fixture, "a");
+  }
+}
+
 TEST_CASE("a call is not sent to an upstream that has said in a response that "
           "it leaves") {
   GateFixture Fixture;
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -203,8 +203,6 @@
 
 std::optional<std::string>
 UpstreamGate::departureReason(const proto::CallRequest &Request) const {
-  if (this->Evacuated)
-    return std::string(EvacuatedReason);
   if (!this->Upstream)
     return "no upstream is registered";
   if (this->Upstream->draining())
@@ -220,6 +218,8 @@
   if (this->Stopping ||
       this->mightBeCut(Request, monoNow() + Millis(Request.remaining_ms())))
     return std::string(StoppingReason);
+  if (this->Evacuated)
+    return std::string(EvacuatedReason);
   if (std::optional<std::string> Reason = this->departureReason(Request))
     return Reason;
   if (monoNow() < this->UnreachableUntil)
@@ -594,6 +594,13 @@
   this->releaseSuspect(Rejection.Id);
 }
 
+void UpstreamGate::rejectStarted(std::uint64_t Ticket,
+                                 std::string_view Reason) {
+  this->Queue.finish(Ticket);
+  this->reject({Ticket, Reason, Micros{0}});
+  this->startQueuedCalls();
+}
+
 void UpstreamGate::addCrashes(const Call &ActiveCall,
                               proto::CallReply &Reply) const {
   for (const proto::CrashRecord &Record :
@@ -911,7 +918,7 @@
               .decide(internal::fingerprintOf(ActiveCall.Request), wallNow())
               .Verdict != CrashVerdict::Run;
   return ActiveCall.Request.idempotent() && !ActiveCall.IsCancelled &&
-         !this->departureReason(ActiveCall.Request) &&
+         !this->Evacuated && !this->departureReason(ActiveCall.Request) &&
          Now < ActiveCall.Deadline && Now >= this->ResendPausedUntil &&
          !MayCrashUpstream && this->ColdStart.mayStart(0, Now);
 }
@@ -927,6 +934,12 @@
     Reply.set_outcome(proto::NOT_RUN);
     Reply.set_reason("the upstream can't be reached");
   }
+  if (const std::optional<std::string> Reason =
+          this->departureReason(ActiveCall->Request);
+      Reason && !ConnectError && !ActiveCall->IsCancelled) {
+    this->rejectStarted(ActiveCall->Ticket, *Reason);
+    co_return;
+  }
   while (!ConnectError && !ActiveCall->IsCancelled) {
     ExchangeResult Result = co_await this->exchange(*ActiveCall);
     const bool IsBroken = Result.End == ExchangeResult::EndState::Broken;
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -176,9 +176,8 @@
   struct ExchangeResult;
 
   /// Returns why the call may not be sent to the upstream that it names, or
-  /// none if it may: that upstream leaves or has left, or its data centre is
-  /// evacuated. Has to be asked right before a call is sent, however long ago
-  /// it was admitted.
+  /// none if it may: that upstream leaves or has left. Has to be asked right
+  /// before a call is sent, however long ago it was admitted.
   std::optional<std::string> departureReason(const proto::CallRequest &) const;
   /// Returns why the upstream cannot take the call, or none if it can.
   std::optional<std::string>
@@ -209,6 +208,8 @@
   /// slots.
   void startQueuedCalls();
   void reject(const RejectedCall &Rejection);
+  /// Rejects a call that has a slot, but has not been sent.
+  void rejectStarted(std::uint64_t Ticket, std::string_view Reason);
   void rejectAll(const std::vector<RejectedCall> &Rejections);
   /// Rejects the calls that wait for a slot after the upstream has turned cold.
   void rejectForCold();
