--- /dev/null
+++ b/persimmonquay/base/http_status.h
@@ -0,0 +1,20 @@
+// Classes of HTTP status codes (RFC 9110, section 15).
+#ifndef PERSIMMONQUAY_BASE_HTTP_STATUS_H
+#define PERSIMMONQUAY_BASE_HTTP_STATUS_H
+
+namespace persimmonquay {
+
+/// Returns whether a response with this status ends the exchange.
+constexpr bool isFinalStatus(unsigned Status) {
+  return Status >= 200 && Status <= 599;
+}
+
+/// Returns whether a response with this status announces another one. A change
+/// of the protocol (101) doesn't, and is never asked for.
+constexpr bool isInterimStatus(unsigned Status) {
+  return Status >= 100 && Status <= 199 && Status != 101;
+}
+
+} // namespace persimmonquay
+
+#endif // PERSIMMONQUAY_BASE_HTTP_STATUS_H
--- a/persimmonquay/daemon/http_decoder.cc
+++ b/persimmonquay/daemon/http_decoder.cc
@@ -1,5 +1,6 @@
 #include "persimmonquay/daemon/http_decoder.h"
 
+#include "persimmonquay/base/http_status.h"
 #include <boost/beast/http/error.hpp>
 
 namespace persimmonquay {
@@ -7,6 +8,15 @@
 
 constexpr std::size_t ReadChunkBytes = 8192;
 
+bool hasValidStatus(const http::message<true, http::string_body> &) {
+  return true;
+}
+
+bool hasValidStatus(const http::message<false, http::string_body> &Response) {
+  return isFinalStatus(Response.result_int()) ||
+         isInterimStatus(Response.result_int());
+}
+
 } // namespace internal
 
 template <bool IsRequest>
@@ -54,6 +64,11 @@
         this->Error = http::error::header_limit;
       break;
     }
+    // Without a valid status it isn't known whether a body follows, so that
+    // bytes of the body could be taken for the next message.
+    if (!this->Error && this->Parser->is_header_done() &&
+        !internal::hasValidStatus(this->Parser->get()))
+      this->Error = http::error::bad_status;
     if (this->Error || Consumed == 0)
       break;
   }
--- a/persimmonquay/daemon/http_decoder.h
+++ b/persimmonquay/daemon/http_decoder.h
@@ -27,8 +27,9 @@
   Complete,
   /// More bytes are needed.
   Incomplete,
-  /// The bytes are no message within the limits; see `error()`. Nothing more
-  /// can be decoded.
+  /// The bytes are no message within the limits, or a response with a status
+  /// that HTTP doesn't have or that changes the protocol; see `error()`.
+  /// Nothing more can be decoded.
   Failed,
 };
 
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -174,6 +174,40 @@
     }
 }
 
+// Such a response was taken for an interim one: the call waited until its
+// deadline, and the body was read as the response. 600 and above were passed
+// on.
+TEST_CASE("a response with a status that HTTP doesn't have is no answer") {
+  const std::string Forged =
+      "HTTP/1.1 200 OK\r\nx-pq-proof: p\r\nContent-Length: 6\r\n\r\nforged";
+  for (const std::string Status : {"000", "001", "099", "101", "600", "999",
+                                   "0200", "20", "-12", "1000", "abc", ""})
+    for (const std::string &Body :
+         {std::string(), std::string("sorry"), Forged})
+      for (const bool IsReused : {false, true})
+        for (const bool Closes : {false, true}) {
+          CAPTURE(Status);
+          CAPTURE(Body);
+          CAPTURE(IsReused);
+          CAPTURE(Closes);
+          GateFixture Fixture;
+          if (IsReused)
+            Fixture.call("warm");
+          Fixture.Scripts["a"] = {
+              .Bytes = absl::StrCat("HTTP/1.1 ", Status,
+                                    " Trouble\r\nx-pq-proof: p\r\n"
+                                    "x-pq-request-id: a\r\nContent-Length: ",
+                                    Body.size(), "\r\n\r\n", Body),
+              .ClosesAfterBytes = Closes};
+          const MonoTime Start = monoNow();
+          checkUnknown(Fixture.call("a", Millis(3000)));
+          // At once, not at the deadline.
+          CHECK(monoNow() - Start < Millis(1000));
+          CHECK(Fixture.receivedCount("a") == 1);
+          CHECK(Fixture.call("b").body() == "ok");
+        }
+}
+
 TEST_CASE("an interim response is skipped and the connection stays usable") {
   GateFixture Fixture;
   Fixture.Scripts["a"] = {
--- a/testing/platform/platform_test.cc
+++ b/testing/platform/platform_test.cc
@@ -218,6 +218,31 @@
   CHECK(receivedCount(*Setup.Server.Upstream, "cut") == 1);
 }
 
+// The body of such a response was read as the response, and one without a body
+// kept the caller waiting until its deadline.
+TEST_CASE("a response with status 000 never reaches the caller") {
+  TwoNodes Setup;
+  for (const std::string Body :
+       {"", "HTTP/1.1 200 OK\r\nX-Persimmonquay-Response-Signature: proof\r\n"
+            "Content-Length: 6\r\n\r\nforged"}) {
+    CAPTURE(Body);
+    Setup.Server.Upstream->setHandler([Body](const ReceivedRequest &) {
+      return absl::StrCat("HTTP/1.1 000 Trouble\r\nContent-Length: ",
+                          Body.size(), "\r\n\r\n", Body);
+    });
+    for (const char *Target : {"/views/7", "/orders/7"}) {
+      const MonoTime Start = monoNow();
+      const CallResponse Response = Setup.Mesh.call(
+          Setup.Caller, {.Target = Target, .RequestId = Target});
+      CHECK(Response.Status == 502);
+      CHECK(Response.Body.find("forged") == std::string::npos);
+      // The route's timeout is 3 s.
+      CHECK(monoNow() - Start < Millis(1500));
+    }
+    CHECK(receivedCount(*Setup.Server.Upstream, "/orders/7") >= 1);
+  }
+}
+
 TEST_CASE("a response without the upstream's signature is not a success") {
   TwoNodes Setup;
   std::atomic<int> Calls = 0;
