--- a/persimmonquay/node/http_pool.cc
+++ b/persimmonquay/node/http_pool.cc
@@ -1,5 +1,7 @@
 #include "persimmonquay/node/http_pool.h"
 
+#include "persimmonquay/base/http_status.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -68,6 +70,8 @@
   Poco::Net::HTTPResponse Head;
   std::istream &Stream = Session->receiveResponse(Head);
   Response->Status = Head.getStatus();
+  if (!isFinalStatus(static_cast<unsigned>(Response->Status)))
+    return absl::StrCat("the answer has the status ", Response->Status);
   for (const auto &[Name, Value] : Head)
     Response->Headers.push_back(HeaderField{Name, Value});
   *KeepAlive = Head.getKeepAlive();
--- a/persimmonquay/node/node_test.cc
+++ b/persimmonquay/node/node_test.cc
@@ -171,6 +171,18 @@
   }
 }
 
+TEST_CASE("a response with a status that HTTP doesn't have is reported as "
+          "ResponseLost") {
+  for (const std::string Status :
+       {"000", "001", "099", "101", "199", "600", "999"}) {
+    CAPTURE(Status);
+    ScriptedServer Server(absl::StrCat("HTTP/1.1 ", Status,
+                                       " Trouble\r\nContent-Length: 5\r\n\r\n"
+                                       "sorry"));
+    CHECK(Server.sendRequest().Status == ExchangeResult::Code::ResponseLost);
+  }
+}
+
 TEST_CASE("a refused connection is reported as NothingSent") {
   HttpPool Pool;
   const ExchangeResult Result =
