Tests: the wait for a rejection's turn is counted from the rejection

The fixture's handler polls every 2 ms and answered 3 ms after the test had let it go, so that the rejection had waited for 197 ms when the test took it for 200: the check asked for more than the time that had passed. Change: the test waits until the handler has responded before it lets 200 ms pass. The bound is the same and holds for a whole 200 ms of waiting.

--- a/persimmonquay/daemon/caller_session_test.cc
+++ b/persimmonquay/daemon/caller_session_test.cc
@@ -134,6 +134,8 @@
   std::map<std::string, std::shared_ptr<CallerRequest>> Started;
   std::vector<std::string> StartOrder;
   std::set<std::string> Cancelled;
+  /// Targets whose handlers have responded.
+  std::set<std::string> Responded;
   std::string Received;
   bool IsEnded = false;
   bool IsReadingPaused = false;
@@ -164,6 +166,7 @@
       if (Found->second.Status == 503)
         Response.set(http::field::retry_after, "0.600");
     }
+    this->Responded.insert(Target);
     co_return Response;
   }
 
@@ -504,6 +507,8 @@
   Fixture.runUntil([&] { return Fixture.hasStarted("/rejected"); });
   const MonoTime Arrival = Fixture.Started.at("/rejected")->Arrival;
   Fixture.release("/rejected", 503);
+  // The handler notices that a few milliseconds later.
+  Fixture.runUntil([&] { return Fixture.Responded.contains("/rejected"); });
   Fixture.runFor(Millis(200));
   Fixture.release("/slow");
   Fixture.runUntil([&] { return Fixture.responses().size() == 2; });
