--- a/testing/soak/soak_world.cc
+++ b/testing/soak/soak_world.cc
@@ -205,13 +205,17 @@
 }
 
 void SoakWorld::injectStoreFault() {
-  const std::uint64_t Choice = this->Random() % 3;
+  const std::uint64_t Choice = this->Random() % 4;
   std::cout << "store, fault " << Choice << "\n";
   if (Choice == 0) {
     this->Mesh.store().setOutage(true);
     this->schedule(this->randomFaultDuration(),
                    [this] { this->Mesh.store().setOutage(false); });
   } else if (Choice == 1) {
+    this->Mesh.store().setSilent(true);
+    this->schedule(2 * this->randomFaultDuration(),
+                   [this] { this->Mesh.store().setSilent(false); });
+  } else if (Choice == 2) {
     this->Mesh.store().loseAppendResponses(3);
   } else {
     this->Mesh.store().compactTopic("keyed.op");
@@ -252,7 +256,7 @@
 
 void SoakWorld::injectUpstreamFault() {
   NodeState &State = this->randomNode();
-  const std::uint64_t Choice = this->Random() % 4;
+  const std::uint64_t Choice = this->Random() % 5;
   std::cout << "upstream of " << State.Node->Name << ", fault " << Choice
             << "\n";
   const ScriptedUpstream::Handler Healthy =
@@ -273,6 +277,9 @@
           Other.Headers["x-persimmonquay-request-id"] = "another";
           return Response + responseTo(Other, 200, soakResponseBody("another"));
         }
+        case 3: // No status of HTTP, and a body that looks like a response.
+          return absl::StrCat("HTTP/1.1 000 Trouble\r\nContent-Length: ",
+                              Response.size(), "\r\n\r\n", Response);
         default:
           return responseTo(Request, 500, "broken");
         }
