--- a/persimmonquay/fleet/store_retry.h
+++ b/persimmonquay/fleet/store_retry.h
@@ -26,6 +26,13 @@
 ///     pause(Retry.recordFailure(Start, monoNow(), Nodes.size()));
 class StoreRetry {
 public:
+  /// Number of callers of a call that only a few nodes of each data centre make
+  /// at a time.
+  static constexpr std::size_t FewCallers = 100;
+
+  /// Number of callers if it can't be known: the nodes of several data centres.
+  static constexpr std::size_t UnknownCallers = 2500;
+
   explicit StoreRetry(std::uint64_t Seed) : Random(Seed) {}
 
   // Commands.
--- a/testing/platform/store_feed_test.cc
+++ b/testing/platform/store_feed_test.cc
@@ -144,7 +144,8 @@
     asio::co_spawn(
         Fixture.Context,
         [&Fixture]() -> asio::awaitable<void> {
-          co_await Fixture.Feed.storeEntry(Millis(400));
+          const absl::Status Ignored =
+              co_await Fixture.Feed.storeEntry(Millis(400));
         },
         asio::detached);
   };
