Tests: nodes that are gone do not keep the others from the store

Cause: FollowerTurns counts only nodes that can be reached, which no test guarded. Change: a case of platform_test with 200 entries of lost hosts that rank above three nodes.

--- a/testing/platform/silent_store_test.cc
+++ b/testing/platform/silent_store_test.cc
@@ -1,5 +1,7 @@
 // Tests of the program as processes on loopback: a store that is silent for a
 // while, so that the calls that it has received are never answered.
+#include "proto/link.pb.h"
+#include "testing/free_port.h"
 #include "testing/platform/small_mesh.h"
 #include <absl/strings/str_cat.h>
 #include <algorithm>
@@ -167,4 +169,40 @@
   CHECK(monoNow() - Return < ReturnBound);
 }
 
+// Entries of hosts that were lost stay in the list of nodes. If they had turns,
+// the nodes that are there would wait for minutes.
+TEST_CASE("nodes that are gone do not keep the others from the store") {
+  constexpr int GoneNodes = 200;
+  SmallMesh Mesh;
+  for (int I = 0; I < GoneNodes; ++I) {
+    proto::NodeEntry Gone;
+    Gone.set_node(absl::StrCat("gone-", I));
+    Gone.set_data_centre("here");
+    Gone.set_address("127.0.0.1");
+    Gone.set_link_port(freePort());
+    // Ranks above the nodes of the test.
+    Gone.set_link_mbps(1000);
+    Mesh.store().put("keyed.nodes", Gone.node(), Gone.SerializeAsString());
+  }
+  for (int I = 0; I < 3; ++I)
+    Mesh.add("gallery");
+  Mesh.publish(1, "gallery");
+  REQUIRE(Mesh.waitUntilReady());
+  std::this_thread::sleep_for(Millis(2500));
+  for (std::uint64_t Version = 2; Version < 5; ++Version) {
+    const std::string Path = absl::StrCat("/path-", Version, "/");
+    Mesh.publish(Version, "gallery", 3000, {Path});
+    const MonoTime Start = monoNow();
+    int Calls = 0;
+    for (const auto &Node : Mesh.nodes())
+      CHECK(eventually(WaitTimeout, [&] {
+        return Mesh.call(*Node, {.Target = Path + "1",
+                                 .RequestId = absl::StrCat("new-", Version, "-",
+                                                           ++Calls)})
+                   .Status != 404;
+      }));
+    CHECK(monoNow() - Start < ReturnBound);
+  }
+}
+
 } // namespace persimmonquay::testing
