Tests: two guards that mutations had passed

Cause: of eight mutations of the new guards two passed: followers that forget that they have followed (the test's store served so many nodes that others took over at once), and a decoder that checks the status of a response only at its end. Change: the store of the first test serves four nodes only; a case whose response has a body that never comes.

--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -208,6 +208,16 @@
         }
 }
 
+TEST_CASE("the body of a response without a valid status is not awaited") {
+  GateFixture Fixture;
+  Fixture.Scripts["a"] = {
+      .Bytes = "HTTP/1.1 600 Trouble\r\nx-pq-proof: p\r\n"
+               "x-pq-request-id: a\r\nContent-Length: 1000\r\n\r\n"};
+  const MonoTime Start = monoNow();
+  checkUnknown(Fixture.call("a", Millis(3000)));
+  CHECK(monoNow() - Start < Millis(1000));
+}
+
 TEST_CASE("an interim response is skipped and the connection stays usable") {
   GateFixture Fixture;
   Fixture.Scripts["a"] = {
--- a/persimmonquay/fleet/follower_turns_test.cc
+++ b/persimmonquay/fleet/follower_turns_test.cc
@@ -110,13 +110,15 @@
   }
 }
 
-// The top nodes are turned away, and the store is silent for all for a while.
+// The store serves only a few nodes, and is silent for all for a while.
 TEST_CASE("followers that a silent store has interrupted go on trying") {
   DataCentre Nodes(579);
-  const auto Serves = [](std::size_t Rank) { return Rank >= 40; };
+  const auto Serves = [](std::size_t Rank) { return Rank >= 40 && Rank < 44; };
   MonoTime Now = Start;
-  for (; Nodes.followers() < FollowerTurns::Followers; Now += Tick)
+  for (; Nodes.followers() < FollowerTurns::Followers; Now += Tick) {
+    REQUIRE(Now < Start + std::chrono::minutes(10));
     Nodes.step(Now, Serves);
+  }
   const MonoTime End = Now + std::chrono::seconds(20);
   for (; Now < End; Now += Tick)
     Nodes.step(Now, ServesNone);
