--- a/persimmonquay/daemon/leaving_upstream_test.cc
+++ b/persimmonquay/daemon/leaving_upstream_test.cc
@@ -2,6 +2,7 @@
 // becomes known, no call is sent to it afterwards that has been admitted
 // before.
 #include "persimmonquay/daemon/gate_fixture.h"
+#include "persimmonquay/traffic/request_fingerprint.h"
 #include <doctest/doctest.h>
 #include <functional>
 #include <optional>
@@ -181,6 +182,39 @@
   }
 }
 
+TEST_CASE("a call that waits for the pace of a limit is not sent once the "
+          "upstream leaves") {
+  for (const Departure &Known : departuresAndEvacuation()) {
+    CAPTURE(Known.Name);
+    GateFixture Fixture;
+    Fixture.KnownLimit = 0.5;
+    Fixture.submit("a");
+    Fixture.runFor(Millis(20));
+    REQUIRE(Fixture.receivedCount("a") == 0);
+    Known.Announce(Fixture);
+    checkNotSent(Fixture, "a");
+  }
+}
+
+TEST_CASE("a call that is held as the suspect of a crash is not sent once the "
+          "upstream leaves") {
+  for (const Departure &Known : departuresAndEvacuation()) {
+    CAPTURE(Known.Name);
+    GateFixture Fixture;
+    Fixture.call("warm");
+    Fixture.Crashes.recordCrash({requestFingerprint("GET", "/a", ""),
+                                 requestFingerprint("GET", "/b", "")},
+                                /*Crash=*/100, wallNow());
+    Fixture.Scripts["a"] = {};
+    Fixture.submit("a");
+    Fixture.submit("b");
+    Fixture.runUntil([&] { return Fixture.receivedCount("a") == 1; });
+    Known.Announce(Fixture);
+    Fixture.closeConnections();
+    checkNotSent(Fixture, "b");
+  }
+}
+
 TEST_CASE("a call is not sent to an upstream that has said in a response that "
           "it leaves") {
   GateFixture Fixture;
