--- a/persimmonquay/base/http_status.h
+++ b/persimmonquay/base/http_status.h
@@ -15,6 +15,12 @@
   return Status >= 100 && Status <= 199 && Status != 101;
 }
 
+/// Returns whether callers take a response with this status for a guarantee
+/// that the call has not run and will not run, so that they may repeat it.
+constexpr bool impliesNotRun(unsigned Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
 } // namespace persimmonquay
 
 #endif // PERSIMMONQUAY_BASE_HTTP_STATUS_H
--- a/persimmonquay/daemon/caller_responses.cc
+++ b/persimmonquay/daemon/caller_responses.cc
@@ -1,5 +1,6 @@
 #include "persimmonquay/daemon/caller_responses.h"
 
+#include "persimmonquay/base/http_status.h"
 #include "persimmonquay/base/logging.h"
 #include "persimmonquay/daemon/route_target.h"
 #include "persimmonquay/daemon/routed_call.h"
@@ -49,7 +50,7 @@
                                   const RouteTarget &Target) {
   const MonoTime Now = monoNow();
   if (Call.Arrivals < 2 && Now < Call.Objective &&
-      !this->SuccessLogLimit.allow(Now))
+      !impliesNotRun(Reply.status()) && !this->SuccessLogLimit.allow(Now))
     return;
   logLine(LogLevel::Info, "call answered",
           {{"request", Call.RequestId},
--- a/persimmonquay/daemon/metrics.cc
+++ b/persimmonquay/daemon/metrics.cc
@@ -92,6 +92,13 @@
            .Help("Times that the own upstream ended while it ran calls")
            .Register(*this->Registry)
            .Add({});
+  this->UnstatedRefusals =
+      &prometheus::BuildCounter()
+           .Name("pq_upstream_unstated_refusals_total")
+           .Help("Answers of the own upstream with status 408, 421, 429 or 503 "
+                 "without a statement that the call has not run")
+           .Register(*this->Registry)
+           .Add({});
   this->RequestSeconds =
       &internal::addHistogram(*this->Registry, "pq_request_seconds",
                               "Time from a request's end to its answer");
@@ -144,6 +151,8 @@
 
 void Metrics::recordUpstreamCrash() { this->UpstreamCrashes->Increment(); }
 
+void Metrics::recordUnstatedRefusal() { this->UnstatedRefusals->Increment(); }
+
 void Metrics::recordLinkWait(std::chrono::microseconds Duration) {
   this->LinkWaitSeconds->Observe(internal::toSeconds(Duration));
 }
--- a/persimmonquay/daemon/metrics.h
+++ b/persimmonquay/daemon/metrics.h
@@ -65,6 +65,9 @@
   void recordStoreRequest(StoreRequest Kind, StoreOutcome Outcome);
   /// Records that the local upstream has ended while it ran calls.
   void recordUpstreamCrash();
+  /// Records an answer of the local upstream whose status implies that the call
+  /// has not run although the upstream did not state that.
+  void recordUnstatedRefusal();
   /// Records how long an answer waited for the link, until all of it had been
   /// given to the kernel.
   void recordLinkWait(std::chrono::microseconds Duration);
@@ -89,6 +92,7 @@
   std::array<prometheus::Counter *, 2> StoreCalls{};
   std::array<std::array<prometheus::Counter *, 3>, 3> StoreRequests{};
   prometheus::Counter *UpstreamCrashes;
+  prometheus::Counter *UnstatedRefusals;
   prometheus::Histogram *RequestSeconds;
   prometheus::Histogram *GateWaitSeconds;
   prometheus::Histogram *LinkWaitSeconds;
--- a/persimmonquay/daemon/rollout_driver.cc
+++ b/persimmonquay/daemon/rollout_driver.cc
@@ -61,6 +61,7 @@
 struct RolloutDriver::RouteCounts {
   std::uint32_t Calls = 0;
   std::uint32_t Failures = 0;
+  std::uint32_t Rejected = 0;
   std::array<std::uint32_t, LatencyBucketCount> Latency{};
 };
 
@@ -159,7 +160,9 @@
   ++Counts.Calls;
   if (Result.Failed)
     ++Counts.Failures;
-  else
+  if (Result.Rejected)
+    ++Counts.Rejected;
+  if (!Result.Failed)
     ++Counts.Latency[latencyBucket(Result.ProcessingTime)];
 }
 
@@ -182,6 +185,7 @@
     Tally.set_route(Route);
     Tally.set_calls(Counts.Calls);
     Tally.set_failures(Counts.Failures);
+    Tally.set_rejected(Counts.Rejected);
     for (const std::uint32_t Count : Counts.Latency)
       Tally.add_latency(Count);
     OwnTallies.push_back(std::move(Tally));
@@ -303,15 +307,20 @@
     break;
   }
   if (Changed)
-    logLine(LogLevel::Info, "rollout decided",
-            {{"service", State.Order.service()},
-             {"target_version", State.Order.target_version()},
-             {"state", internal::stateName(Next.state())},
-             {"share_permille", std::to_string(Next.share_permille())},
-             {"reason", Decision.Reason},
-             {"target_calls", std::to_string(State.Evidence->targetCalls())},
-             {"target_failures",
-              std::to_string(State.Evidence->targetFailures())}});
+    logLine(
+        LogLevel::Info, "rollout decided",
+        {{"service", State.Order.service()},
+         {"target_version", State.Order.target_version()},
+         {"state", internal::stateName(Next.state())},
+         {"share_permille", std::to_string(Next.share_permille())},
+         {"reason", Decision.Reason},
+         {"target_calls", std::to_string(State.Evidence->target().Calls)},
+         {"target_failures", std::to_string(State.Evidence->target().Failures)},
+         {"target_rejected", std::to_string(State.Evidence->target().Rejected)},
+         {"other_calls", std::to_string(State.Evidence->others().Calls)},
+         {"other_failures", std::to_string(State.Evidence->others().Failures)},
+         {"other_rejected",
+          std::to_string(State.Evidence->others().Rejected)}});
   if (Changed || Now - State.LastPublishedAt >= internal::PublishInterval)
     this->publish(State, std::move(Next));
 }
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -1,6 +1,7 @@
 #include "persimmonquay/daemon/upstream_gate.h"
 
 #include "persimmonquay/base/hashing.h"
+#include "persimmonquay/base/http_status.h"
 #include "persimmonquay/base/logging.h"
 #include "persimmonquay/daemon/connection_timer.h"
 #include "persimmonquay/daemon/hop_by_hop_headers.h"
@@ -1029,6 +1030,8 @@
     Reply.set_reason("the answer is not the upstream's own");
     return Reply;
   }
+  if (impliesNotRun(Status))
+    this->Counters.recordUnstatedRefusal();
   Reply.set_outcome(proto::ANSWERED);
   Reply.set_status(Status);
   for (const auto &Field : Response) {
@@ -1114,13 +1117,14 @@
         .first->second.add(UsualTime);
   }
   if (this->OnResult)
-    this->OnResult({ActiveCall.Request.route(), Failed, ProcessingTime});
+    this->OnResult({ActiveCall.Request.route(), Failed,
+                    Reply.outcome() == proto::NOT_RUN, ProcessingTime});
 }
 
 void UpstreamGate::logEnd(const Call &ActiveCall,
                           const proto::CallReply &Reply) {
-  const bool IsSuccess =
-      Reply.outcome() == proto::ANSWERED && Reply.status() < 500;
+  const bool IsSuccess = Reply.outcome() == proto::ANSWERED &&
+                         Reply.status() < 500 && !impliesNotRun(Reply.status());
   if (IsSuccess && !this->SuccessLogLimit.allow(monoNow()))
     return;
   const auto WaitTime = std::chrono::duration_cast<Millis>(
--- a/persimmonquay/daemon/upstream_gate.h
+++ b/persimmonquay/daemon/upstream_gate.h
@@ -44,6 +44,9 @@
 struct UpstreamCallResult {
   std::string Route;
   bool Failed = false;
+  /// The upstream rejected the call and did not run it. `Failed` is set as
+  /// well.
+  bool Rejected = false;
   /// Time from the start of the call at the upstream to its end.
   std::chrono::microseconds ProcessingTime{0};
 };
--- a/persimmonquay/rollout/rollout_evidence.cc
+++ b/persimmonquay/rollout/rollout_evidence.cc
@@ -31,10 +31,10 @@
     Version.Latency[static_cast<std::size_t>(I)] +=
         Tally.latency(I) - PreviousCount;
   }
-  if (IsTarget) {
-    this->TargetCalls += Tally.calls() - Previous.calls();
-    this->TargetFailures += Tally.failures() - Previous.failures();
-  }
+  Totals &Sum = IsTarget ? this->TargetTotals : this->OtherTotals;
+  Sum.Calls += Tally.calls() - Previous.calls();
+  Sum.Failures += Tally.failures() - Previous.failures();
+  Sum.Rejected += Tally.rejected() - Previous.rejected();
   this->NewestTallies[Key] = Tally;
 }
 
--- a/persimmonquay/rollout/rollout_evidence.h
+++ b/persimmonquay/rollout/rollout_evidence.h
@@ -25,6 +25,15 @@
 ///   decideRollout(Limits, Situation, Evidence.byRoute());
 class RolloutEvidence {
 public:
+  /// Calls of one or several versions since the rollout was ordered.
+  struct Totals {
+    std::uint64_t Calls = 0;
+    /// Includes `Rejected`.
+    std::uint64_t Failures = 0;
+    /// Calls that the upstream rejected and did not run.
+    std::uint64_t Rejected = 0;
+  };
+
   explicit RolloutEvidence(std::string Target)
       : TargetVersion(std::move(Target)) {}
 
@@ -46,8 +55,9 @@
     return this->ClosedSpans;
   }
 
-  std::uint64_t targetCalls() const { return this->TargetCalls; }
-  std::uint64_t targetFailures() const { return this->TargetFailures; }
+  const Totals &target() const { return this->TargetTotals; }
+  /// Returns the totals of all versions except the target.
+  const Totals &others() const { return this->OtherTotals; }
 
 private:
   using TallyKey = std::tuple<std::string, std::uint64_t, std::string,
@@ -58,8 +68,8 @@
   std::map<std::string, SpanCounts> OpenSpans;
   std::map<std::string, std::vector<SpanCounts>> ClosedSpans;
   std::int64_t Span = 0;
-  std::uint64_t TargetCalls = 0;
-  std::uint64_t TargetFailures = 0;
+  Totals TargetTotals;
+  Totals OtherTotals;
 };
 
 } // namespace persimmonquay
--- a/persimmonquay/rollout/rollout_test.cc
+++ b/persimmonquay/rollout/rollout_test.cc
@@ -298,8 +298,8 @@
   Evidence.merge(Later);
   Evidence.merge(Tally);
   Evidence.merge(Later);
-  CHECK(Evidence.targetCalls() == 25);
-  CHECK(Evidence.targetFailures() == 4);
+  CHECK(Evidence.target().Calls == 25);
+  CHECK(Evidence.target().Failures == 4);
 }
 
 } // namespace
--- a/testing/platform/store_feed_test.cc
+++ b/testing/platform/store_feed_test.cc
@@ -64,6 +64,7 @@
     Result.EntryToStore = [this] { return this->Entry; };
     Result.OnStoreCall = [](bool) {};
     Result.OnStoreRequest = [](StoreRequest, StoreOutcome) {};
+    Result.OnOperatorPosition = [](std::uint64_t, std::uint64_t) {};
     Result.ShouldFollow = [this] { return this->ShouldFollow; };
     Result.CountNodes = [this] { return this->NodeCount; };
     Result.OnFollowing = [](bool) {};
