daemon: an upstream's own 408, 421, 429 or 503 promises callers nothing (REFUSED)

Cause: the gate took every answer without the upstream's statement for an ordinary answer, and the caller's node passed its status on, although to callers these statuses promise that nothing has run. A signed 421 was even taken for not run, so that an unsafe call was offered once more. Change: such an answer is a failure of the upstream like a 500: repeated where that is allowed, else a 502 of the node's own without the signature. A 421 is another upstream's only without a signature. Why it works: the status is replaced where answers leave the caller's node, so that every way there, over links, after another attempt or from a nested call, passes it. The soak's upstreams end calls with these statuses.

--- a/persimmonquay/base/http_status.h
+++ b/persimmonquay/base/http_status.h
@@ -21,6 +21,13 @@
   return Status == 408 || Status == 421 || Status == 429 || Status == 503;
 }
 
+/// Returns whether an upstream that has run a call and ended it with this
+/// status has failed. A status that implies that the call has not run is then
+/// wrong.
+constexpr bool isUpstreamFailure(unsigned Status) {
+  return Status >= 500 || impliesNotRun(Status);
+}
+
 } // namespace persimmonquay
 
 #endif // PERSIMMONQUAY_BASE_HTTP_STATUS_H
--- a/persimmonquay/daemon/call_router.cc
+++ b/persimmonquay/daemon/call_router.cc
@@ -2,6 +2,7 @@
 
 #include "persimmonquay/accounts/caller_access.h"
 #include "persimmonquay/base/hashing.h"
+#include "persimmonquay/base/http_status.h"
 #include "persimmonquay/base/logging.h"
 #include "persimmonquay/daemon/caller_server.h"
 #include "persimmonquay/daemon/hop_by_hop_headers.h"
@@ -710,7 +711,7 @@
   if (Reply.arrived()) {
     Call.Arrivals += 1 + Reply.resent();
     const bool Failed =
-        Reply.outcome() != proto::ANSWERED || Reply.status() >= 500;
+        Reply.outcome() != proto::ANSWERED || isUpstreamFailure(Reply.status());
     Target.View.recordResult(Failed, Micros(Reply.work_us()), Now,
                              Call.MeanProcessingTime);
     if (!Failed)
@@ -719,7 +720,7 @@
   switch (Reply.outcome()) {
   case proto::ANSWERED:
     ++Call.RunCount;
-    if (Reply.status() >= 500)
+    if (isUpstreamFailure(Reply.status()))
       Call.UpstreamFailure = Reply;
     Call.ExcludedNodes.insert(Node);
     return;
@@ -819,7 +820,8 @@
     if (Call->IsKeyWithdrawn && !Reply.arrived())
       break;
     this->recordReply(*Call, *Target, Reply);
-    if (Reply.outcome() == proto::ANSWERED && Reply.status() < 500) {
+    if (Reply.outcome() == proto::ANSWERED &&
+        !isUpstreamFailure(Reply.status())) {
       this->Responses.logAnswered(*Call, Reply, *Target);
       co_return this->Responses.upstreamResponse(Reply);
     }
--- a/persimmonquay/daemon/caller_responses.cc
+++ b/persimmonquay/daemon/caller_responses.cc
@@ -4,6 +4,7 @@
 #include "persimmonquay/base/logging.h"
 #include "persimmonquay/daemon/route_target.h"
 #include "persimmonquay/daemon/routed_call.h"
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 #include <algorithm>
 #include <utility>
@@ -50,7 +51,7 @@
                                   const RouteTarget &Target) {
   const MonoTime Now = monoNow();
   if (Call.Arrivals < 2 && Now < Call.Objective &&
-      !impliesNotRun(Reply.status()) && !this->SuccessLogLimit.allow(Now))
+      !this->SuccessLogLimit.allow(Now))
     return;
   logLine(LogLevel::Info, "call answered",
           {{"request", Call.RequestId},
@@ -69,6 +70,15 @@
 }
 
 HttpResponse CallerResponses::failureResponse(RoutedCall &Call) {
+  if (Call.UpstreamFailure && impliesNotRun(Call.UpstreamFailure->status())) {
+    HttpResponse Result = this->errorResponse(
+        Call, StatusBadGateway,
+        absl::StrCat("the upstream ran the call and failed with status ",
+                     Call.UpstreamFailure->status()),
+        {});
+    Call.End = RequestOutcome::UpstreamFailed;
+    return Result;
+  }
   if (Call.UpstreamFailure) {
     Call.End = RequestOutcome::UpstreamFailed;
     logLine(LogLevel::Info, "upstream's failure passed on",
--- a/persimmonquay/daemon/caller_responses.h
+++ b/persimmonquay/daemon/caller_responses.h
@@ -55,7 +55,8 @@
 
   /// Returns the response to a call that will not be offered again: an
   /// upstream's error response, or an error response whose status tells whether
-  /// the call may have run.
+  /// the call may have run. An upstream's status that implies that the call has
+  /// not run is replaced by 502, without the upstream's signature.
   HttpResponse failureResponse(RoutedCall &Call);
 
 private:
--- a/persimmonquay/daemon/upstream_gate.cc
+++ b/persimmonquay/daemon/upstream_gate.cc
@@ -1017,8 +1017,11 @@
     this->readLoad(Response);
     Reply.set_upstream_leaving(this->readLeaving(Response));
   }
+  // The signature shows that this upstream itself has dealt with the call.
+  const bool IsOfAnotherUpstream =
+      Status == 421 && Response[this->Headers.ResponseSignature].empty();
   if (Response.find(this->Headers.NotExecuted) != Response.end() ||
-      Status == 421) {
+      IsOfAnotherUpstream) {
     Reply.set_outcome(proto::NOT_RUN);
     Reply.set_reason(absl::StrCat("the upstream rejected it with ", Status));
     return Reply;
@@ -1104,10 +1107,10 @@
   const auto ProcessingTime =
       std::chrono::duration_cast<std::chrono::microseconds>(
           monoNow() - ActiveCall.StartTime);
-  const bool Failed =
-      Reply.outcome() == proto::UNKNOWN ||
-      (Reply.outcome() == proto::ANSWERED && Reply.status() >= 500) ||
-      Reply.outcome() == proto::NOT_RUN;
+  const bool Failed = Reply.outcome() == proto::UNKNOWN ||
+                      (Reply.outcome() == proto::ANSWERED &&
+                       isUpstreamFailure(Reply.status())) ||
+                      Reply.outcome() == proto::NOT_RUN;
   this->FailureRate +=
       internal::FailureRateWeight * ((Failed ? 1.0 : 0.0) - this->FailureRate);
   if (!Failed) {
@@ -1123,8 +1126,8 @@
 
 void UpstreamGate::logEnd(const Call &ActiveCall,
                           const proto::CallReply &Reply) {
-  const bool IsSuccess = Reply.outcome() == proto::ANSWERED &&
-                         Reply.status() < 500 && !impliesNotRun(Reply.status());
+  const bool IsSuccess =
+      Reply.outcome() == proto::ANSWERED && !isUpstreamFailure(Reply.status());
   if (IsSuccess && !this->SuccessLogLimit.allow(monoNow()))
     return;
   const auto WaitTime = std::chrono::duration_cast<Millis>(
--- a/persimmonquay/daemon/upstream_gate_test.cc
+++ b/persimmonquay/daemon/upstream_gate_test.cc
@@ -148,6 +148,36 @@
   }
 }
 
+// An upstream that runs a call may end it with any status of its own; only its
+// statement, or a 421 of another upstream at its address, says that nothing
+// ran.
+TEST_CASE("an upstream's status alone doesn't say that a call has not run") {
+  const auto Response = [](int Status, const std::string &Headers) {
+    return absl::StrCat("HTTP/1.1 ", Status, " Told\r\n", Headers,
+                        "Content-Length: 0\r\n\r\n");
+  };
+  for (const int Status : {408, 421, 429, 503}) {
+    for (const char *Method : {"GET", "POST"}) {
+      CAPTURE(Status);
+      CAPTURE(Method);
+      GateFixture Fixture;
+      Fixture.Scripts["signed"] = {
+          Response(Status, "x-pq-proof: p\r\nx-pq-request-id: signed\r\n")};
+      const proto::CallReply Signed =
+          Fixture.call("signed", Millis(5000), Method, false);
+      CHECK(Signed.outcome() == proto::ANSWERED);
+      CHECK(Signed.status() == Status);
+      Fixture.Scripts["stated"] = {
+          Response(Status, "x-pq-not-run: 1\r\nx-pq-request-id: stated\r\n")};
+      CHECK(Fixture.call("stated", Millis(5000), Method, false).outcome() ==
+            proto::NOT_RUN);
+      Fixture.Scripts["bare"] = {Response(Status, "x-pq-request-id: bare\r\n")};
+      CHECK(Fixture.call("bare", Millis(5000), Method, false).outcome() ==
+            (Status == 421 ? proto::NOT_RUN : proto::ANSWERED));
+    }
+  }
+}
+
 // After a lost response the gate opens a connection at once and keeps it.
 TEST_CASE("an upstream that states no ids is used after it lost a response") {
   GateFixture Fixture;
--- a/testing/soak/soak_world.cc
+++ b/testing/soak/soak_world.cc
@@ -1,5 +1,6 @@
 #include "testing/soak/soak_world.h"
 
+#include "persimmonquay/base/http_status.h"
 #include "testing/free_port.h"
 #include "testing/soak/call_ledger.h"
 #include "testing/soak/soak_caller.h"
@@ -30,6 +31,9 @@
 /// for busy machines.
 constexpr Millis RecoveryTime{60000};
 
+/// Statuses of an upstream's own that imply that a call has not run.
+constexpr int RefusalStatuses[] = {408, 429, 503};
+
 /// Makes a scripted upstream close the connection without a response.
 const std::string NoResponse;
 
@@ -256,7 +260,7 @@
 
 void SoakWorld::injectUpstreamFault() {
   NodeState &State = this->randomNode();
-  const std::uint64_t Choice = this->Random() % 5;
+  const std::uint64_t Choice = this->Random() % 6;
   std::cout << "upstream of " << State.Node->Name << ", fault " << Choice
             << "\n";
   const ScriptedUpstream::Handler Healthy =
@@ -280,6 +284,9 @@
         case 3: // No status of HTTP, and a body that looks like a response.
           return absl::StrCat("HTTP/1.1 000 Trouble\r\nContent-Length: ",
                               Response.size(), "\r\n\r\n", Response);
+        case 4: // A status that implies that the call has not run.
+          return responseTo(Request, RefusalStatuses[Response.size() % 3],
+                            "broken");
         default:
           return responseTo(Request, 500, "broken");
         }
@@ -385,7 +392,8 @@
     if (!Call.Idempotent && Count > 1)
       this->Ledger.addViolation(
           absl::StrCat("call ", Call.Id, " ran ", Count, " times"));
-    if (!Call.Idempotent && Call.Status == 503 && Count > 0)
+    if (!Call.Idempotent && Count > 0 &&
+        impliesNotRun(static_cast<unsigned>(Call.Status)))
       this->Ledger.addViolation(
           absl::StrCat("call ", Call.Id, " was rejected but ran"));
     if (Call.Status == 200 && Count == 0)
