daemon: a reply whose outcome a node doesn't know is no promise that nothing ran (REFUSED)

Cause: CallRouter took every outcome but ANSWERED and UNKNOWN for NOT_RUN, also the ones that a later release may add, and the reply to an admission check. Change: PeerLink turns them into UNKNOWN.

--- a/persimmonquay/daemon/link_transmitter_test.cc
+++ b/persimmonquay/daemon/link_transmitter_test.cc
@@ -226,6 +226,24 @@
   CHECK(Fixture.Order.size() == 1);
 }
 
+// A reply by a node of another release may have an outcome that isn't known
+// here, and an admission check is no call.
+TEST_CASE("only a reply that says so guarantees that a call has not run") {
+  LinkFixture Fixture(ThinLink, {.MaxBytes = 1U << 20U});
+  for (const int Outcome : {0, 4, 99}) {
+    CAPTURE(Outcome);
+    const std::uint64_t Id = Fixture.submit();
+    proto::LinkFrame Frame;
+    Frame.mutable_reply()->set_id(Id);
+    Frame.mutable_reply()->set_outcome(
+        static_cast<proto::CallOutcome>(Outcome));
+    Fixture.Channel->send(Frame);
+    Fixture.runUntil([&] { return Fixture.Replies.contains(Id); });
+    CHECK(Fixture.Replies[Id].outcome() == proto::UNKNOWN);
+    CHECK(Fixture.Replies[Id].arrived());
+  }
+}
+
 TEST_CASE("a link slower than is known fills no large buffers") {
   asio::io_context Context;
   Metrics Counters;
--- a/persimmonquay/daemon/peer_link.cc
+++ b/persimmonquay/daemon/peer_link.cc
@@ -2,6 +2,7 @@
 
 #include "persimmonquay/base/logging.h"
 #include "persimmonquay/daemon/frame_channel.h"
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -82,7 +83,8 @@
   const bool WasIdle = this->PendingCalls.empty();
   Request.set_id(Id);
   Request.set_takes_body_parts(true);
-  this->PendingCalls[Id] = {std::move(Handler), Request.idempotent()};
+  this->PendingCalls[Id] = {std::move(Handler), Request.idempotent(),
+                            Request.only_ask()};
   proto::LinkFrame Frame;
   *Frame.mutable_call() = std::move(Request);
   this->send(Frame);
@@ -231,6 +233,14 @@
   const auto Found = this->PendingCalls.find(Reply.id());
   if (Found == this->PendingCalls.end() || Found->second.Partial)
     return;
+  const proto::CallOutcome Expected =
+      Found->second.IsAdmissionCheck ? proto::WOULD_TAKE : proto::ANSWERED;
+  if (Reply.outcome() != Expected && Reply.outcome() != proto::NOT_RUN &&
+      Reply.outcome() != proto::UNKNOWN) {
+    this->take(Found).Handler(internal::unknownReply(absl::StrCat(
+        "the node replied with outcome ", static_cast<int>(Reply.outcome()))));
+    return;
+  }
   if (!Reply.body_follows()) {
     this->take(Found).Handler(std::move(Reply));
     return;
--- a/persimmonquay/daemon/peer_link.h
+++ b/persimmonquay/daemon/peer_link.h
@@ -113,6 +113,7 @@
   struct PendingCall {
     ReplyHandler Handler;
     bool IsIdempotent = false;
+    bool IsAdmissionCheck = false;
     /// A reply whose body is arriving.
     std::optional<proto::CallReply> Partial = std::nullopt;
     MonoTime LastPartAt = {};
