--- a/testing/platform/store_feed_test.cc
+++ b/testing/platform/store_feed_test.cc
@@ -1,10 +1,13 @@
 // Tests of the connection to the store within the test's process: how often it
 // calls a store that doesn't answer.
+#include "persimmonquay/fleet/evacuation_table.h"
 #include "platform/store_feed.h"
 #include "testing/platform/store_stand_in.h"
+#include <absl/strings/str_cat.h>
 #include <doctest/doctest.h>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace persimmonquay::testing {
 namespace {
@@ -49,16 +52,31 @@
   proto::NodeEntry Entry;
   bool ShouldFollow = false;
   std::size_t NodeCount = 1;
+  /// What the operator's records have said so far.
+  std::vector<std::uint64_t> Versions;
+  std::vector<proto::RolloutOrder> Orders;
+  EvacuationTable Evacuations;
   StoreFeed Feed;
 
 private:
   StoreFeed::Callbacks callbacks() {
     StoreFeed::Callbacks Result;
-    Result.OnConfiguration = [](const proto::MeshConfiguration &) {};
-    Result.OnRolloutOrder = [](const proto::RolloutOrder &) {};
-    Result.OnEvacuation = [](const proto::Evacuation &) {};
-    Result.OnEvacuationList = [](const std::vector<proto::Evacuation> &,
-                                 std::uint64_t) {};
+    Result.OnConfiguration = [this](const proto::MeshConfiguration &Next) {
+      this->Versions.push_back(Next.version());
+    };
+    Result.OnRolloutOrder = [this](const proto::RolloutOrder &Order) {
+      this->Orders.push_back(Order);
+    };
+    Result.OnEvacuation = [this](const proto::Evacuation &Copy) {
+      this->Evacuations.merge(Copy);
+    };
+    Result.OnEvacuationList =
+        [this](const std::vector<proto::Evacuation> &Active,
+               std::uint64_t ListNumber) {
+          for (const proto::Evacuation &End :
+               this->Evacuations.endedBy(Active, ListNumber))
+            this->Evacuations.merge(End);
+        };
     Result.OnNodeEntries = [](const std::vector<proto::NodeEntry> &) {};
     Result.OnOwnStoredEntry = [](const proto::NodeEntry &) {};
     Result.EntryToStore = [this] { return this->Entry; };
@@ -212,4 +230,92 @@
   }
 }
 
+namespace {
+
+/// Returns a configuration without routes.
+std::string configuration(std::uint64_t Version) {
+  return absl::StrCat(
+      R"({"version":)", Version,
+      R"(,"services":[],"virtual_hosts":[],"limits":{"max_header_bytes":4096,)"
+      R"("max_body_bytes":100000,"header_timeout_s":3,"idle_timeout_s":15}})");
+}
+
+std::string rolloutTo(const std::string &TargetVersion) {
+  return absl::StrCat(R"({"service":"gallery","target_version":")",
+                      TargetVersion, R"(","duration_s":8})");
+}
+
+/// A feed that follows the operator's records.
+struct FollowingFixture : FeedFixture {
+  FollowingFixture() {
+    this->ShouldFollow = true;
+    this->write("config", configuration(10));
+    this->Feed.start("node-1", /*IsFirstStart=*/false);
+    this->runFor(FollowTime);
+  }
+
+  void write(const std::string &Key, const std::string &Value) {
+    this->Store.put("keyed.op", Key, Value);
+  }
+
+  /// Takes the store away for `Duration` and lets it come back from its copy.
+  void
+  playDrill(Millis Duration,
+            const std::vector<std::pair<std::string, std::string>> &Rewritten) {
+    this->Store.setOutage(true);
+    this->runFor(Duration);
+    this->Store.restore(Rewritten);
+    this->Store.setOutage(false);
+  }
+
+  /// Time within which a change is read, also one that follows another.
+  static constexpr Millis FollowTime{1500};
+  /// Time within which a change must be active.
+  static constexpr Millis ApplyTime{2000};
+};
+
+} // namespace
+
+// The reader kept its offset over the drill, and so missed the records at
+// offsets that had been given out again.
+TEST_CASE("a configuration is read after the store has been restored") {
+  for (const Millis Duration : {Millis(0), Millis(300), Millis(2500)}) {
+    // Offsets 1 and 2 are given out again: fewer, as many, and more records.
+    for (int Written = 1; Written <= 3; ++Written) {
+      CAPTURE(Duration.count());
+      CAPTURE(Written);
+      FollowingFixture Fixture;
+      Fixture.Store.takeCopy();
+      Fixture.write("config", configuration(11));
+      Fixture.runFor(FollowingFixture::FollowTime);
+      Fixture.write("config", configuration(13));
+      Fixture.runFor(FollowingFixture::FollowTime);
+      REQUIRE(Fixture.Versions.back() == 13);
+      std::vector<std::pair<std::string, std::string>> Rewritten;
+      for (int I = 1; I <= Written; ++I)
+        Rewritten.emplace_back("config", configuration(13 + I));
+      Fixture.playDrill(Duration, Rewritten);
+      Fixture.runFor(FollowingFixture::ApplyTime);
+      CHECK(Fixture.Versions.back() ==
+            static_cast<std::uint64_t>(13 + Written));
+    }
+  }
+}
+
+TEST_CASE("a configuration is read after several restores in a row") {
+  FollowingFixture Fixture;
+  Fixture.Store.takeCopy();
+  std::uint64_t Version = 10;
+  for (int Round = 0; Round < 3; ++Round) {
+    Fixture.write("config", configuration(++Version));
+    Fixture.runFor(FollowingFixture::FollowTime);
+    REQUIRE(Fixture.Versions.back() == Version);
+    Fixture.playDrill(Millis(100), {{"config", configuration(Version)}});
+    // Before the reader has noticed.
+    Fixture.playDrill(Millis(0), {{"config", configuration(++Version)}});
+    Fixture.runFor(FollowingFixture::ApplyTime);
+    CHECK(Fixture.Versions.back() == Version);
+  }
+}
+
 } // namespace persimmonquay::testing
--- a/testing/platform/store_stand_in.cc
+++ b/testing/platform/store_stand_in.cc
@@ -20,6 +20,9 @@
 
 constexpr std::size_t MaxPageItems = 500;
 
+/// Topic that the operator writes to.
+constexpr char OperatorTopic[] = "keyed.op";
+
 /// Size of the response to a read; further records need another one.
 constexpr std::size_t MaxReadBytes = 1U << 20U;
 
@@ -137,6 +140,21 @@
   this->ResponseDelay = Delay;
 }
 
+void StoreStandIn::takeCopy() {
+  const std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->Copy = this->Topics;
+}
+
+void StoreStandIn::restore(
+    const std::vector<std::pair<std::string, std::string>> &Rewritten) {
+  const std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->Topics = this->Copy;
+  ++this->Era;
+  for (const auto &[Key, Value] : Rewritten)
+    this->appendRecord(this->Topics[OperatorTopic], Key, Value);
+  this->TopicChanged.notify_all();
+}
+
 void StoreStandIn::compactTopic(const std::string &TopicName) {
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   Topic &TopicLog = this->Topics[TopicName];
@@ -156,6 +174,7 @@
   const auto Query = parseQuery(Target);
   std::string Body;
   Poco::StreamCopier::copyToString(Request.stream(), Body);
+  Response.set("Store-Era", std::to_string(this->Era));
   Millis Delay{0};
   bool IsSwallowed = false;
   {
@@ -248,9 +267,9 @@
   const auto MaxWait = std::chrono::milliseconds(
       static_cast<int>(numberOr(Query, "wait_ms", 0)));
   std::unique_lock<std::mutex> Lock(this->Mutex);
-  Topic &TopicLog = this->Topics[Query.at("topic")];
   this->TopicChanged.wait_for(Lock, MaxWait, [&] {
-    return this->Outage || this->Silent || TopicLog.EndOffset > ReadOffset ||
+    const Topic &TopicLog = this->Topics[Query.at("topic")];
+    return this->Outage || this->Silent || TopicLog.EndOffset != ReadOffset ||
            TopicLog.FirstOffset > ReadOffset;
   });
   if (this->Silent)
@@ -259,7 +278,10 @@
     sendText(Response, 503, "out");
     return true;
   }
-  if (ReadOffset < TopicLog.FirstOffset) {
+  // The store may have been restored while the read waited.
+  Response.set("Store-Era", std::to_string(this->Era));
+  const Topic &TopicLog = this->Topics[Query.at("topic")];
+  if (ReadOffset < TopicLog.FirstOffset || ReadOffset > TopicLog.EndOffset) {
     sendText(Response, 410, Json{{"first", TopicLog.FirstOffset}}.dump());
     return true;
   }
--- a/testing/platform/store_stand_in.h
+++ b/testing/platform/store_stand_in.h
@@ -60,6 +60,16 @@
   /// Delays every response from now on.
   void delayResponses(Millis Delay);
 
+  /// Takes a copy of all records, for `restore()`.
+  void takeCopy();
+
+  /// Comes back from the copy, as after a drill: what was written since is gone
+  /// and its offsets are given out again. The era that responses name rises.
+  /// `Rewritten` are records of the operator that are written before any other
+  /// call is served.
+  void restore(
+      const std::vector<std::pair<std::string, std::string>> &Rewritten = {});
+
   /// Deletes all records of a topic except the newest of each key.
   void compactTopic(const std::string &TopicName);
 
@@ -102,6 +112,8 @@
   std::mutex Mutex;
   std::condition_variable TopicChanged;
   std::map<std::string, Topic> Topics;
+  std::map<std::string, Topic> Copy;
+  std::atomic<std::uint64_t> Era = 1;
   bool Outage = false;
   bool Silent = false;
   std::atomic<bool> Stopping = false;
--- a/testing/soak/soak_world.cc
+++ b/testing/soak/soak_world.cc
@@ -209,7 +209,7 @@
 }
 
 void SoakWorld::injectStoreFault() {
-  const std::uint64_t Choice = this->Random() % 4;
+  const std::uint64_t Choice = this->Random() % 5;
   std::cout << "store, fault " << Choice << "\n";
   if (Choice == 0) {
     this->Mesh.store().setOutage(true);
@@ -221,11 +221,30 @@
                    [this] { this->Mesh.store().setSilent(false); });
   } else if (Choice == 2) {
     this->Mesh.store().loseAppendResponses(3);
+  } else if (Choice == 3) {
+    this->restoreStore();
   } else {
     this->Mesh.store().compactTopic("keyed.op");
   }
 }
 
+void SoakWorld::restoreStore() {
+  // The offsets of these two are given out again.
+  this->Mesh.store().takeCopy();
+  this->publish();
+  this->publish();
+  this->schedule(this->randomFaultDuration(), [this] {
+    this->Mesh.store().setOutage(true);
+    this->schedule(this->randomFaultDuration(), [this] {
+      this->Mesh.store().restore();
+      this->Mesh.store().setOutage(false);
+      // The operator writes the newest one again, and a further one.
+      this->publishLatest();
+      this->publish();
+    });
+  });
+}
+
 void SoakWorld::drainUpstream() {
   NodeState &State = this->randomNode();
   if (State.Draining || State.Paused)
@@ -301,6 +320,10 @@
   this->LatestVersion += 1 + this->Random() % 3;
   std::cout << "configuration " << this->LatestVersion << "\n";
   this->VersionPaths.push_back(versionPath(this->LatestVersion));
+  this->publishLatest();
+}
+
+void SoakWorld::publishLatest() {
   this->Mesh.publish(this->LatestVersion, "gallery", 3000, this->VersionPaths);
 }
 
--- a/testing/soak/soak_world.h
+++ b/testing/soak/soak_world.h
@@ -72,9 +72,14 @@
   void pause();
   void injectLinkFault();
   void injectStoreFault();
+  /// Lets the store come back from a copy after an outage.
+  void restoreStore();
   void drainUpstream();
   void injectUpstreamFault();
+  /// Publishes another configuration.
   void publish();
+  /// Writes the latest configuration.
+  void publishLatest();
   void setLinkFault(const std::string &Link, const std::string &Fault);
   void sendHeartbeats();
   void checkVersions();
