--- a/persimmonquay/daemon/rollout_driver.cc
+++ b/persimmonquay/daemon/rollout_driver.cc
@@ -93,7 +93,15 @@
 RolloutDriver::addOrder(const proto::RolloutOrder &NewOrder) {
   if (this->Orders.contains(NewOrder.number()))
     return nullptr;
-  logLine(LogLevel::Info, "rollout ordered",
+  // Until a driver decides otherwise, the target version gets no calls.
+  proto::RolloutProgress Progress;
+  *Progress.mutable_order() = NewOrder;
+  Progress.set_state(proto::RUNNING);
+  this->Rollouts.merge(Progress);
+  logLine(LogLevel::Info,
+          this->Rollouts.isRepetition(NewOrder.service(), NewOrder.number())
+              ? "rollout order repeats another one"
+              : "rollout ordered",
           {{"service", NewOrder.service()},
            {"target_version", NewOrder.target_version()},
            {"duration_ms", std::to_string(NewOrder.duration_ms())},
@@ -107,11 +115,6 @@
   State->Evidence =
       std::make_unique<RolloutEvidence>(NewOrder.target_version());
   this->Orders[NewOrder.number()] = std::move(State);
-  // Until a driver decides otherwise, the target version gets no calls.
-  proto::RolloutProgress Progress;
-  *Progress.mutable_order() = NewOrder;
-  Progress.set_state(proto::RUNNING);
-  this->Rollouts.merge(Progress);
   return this->Rollouts.find(NewOrder.service(), NewOrder.number());
 }
 
@@ -238,8 +241,12 @@
 void RolloutDriver::processOrder(OrderState &State) {
   const proto::RolloutProgress *Progress =
       this->Rollouts.find(State.Order.service(), State.Order.number());
-  if (Progress == nullptr || Progress->stored() || !this->isDriver(State))
+  if (Progress == nullptr || Progress->stored() ||
+      this->Rollouts.isRepetition(State.Order.service(),
+                                  State.Order.number()) ||
+      !this->isDriver(State))
     return;
+  this->adoptEnd(State);
   if (Progress->state() == proto::RUNNING) {
     this->decide(State);
     Progress = this->Rollouts.find(State.Order.service(), State.Order.number());
@@ -253,6 +260,20 @@
   }
 }
 
+void RolloutDriver::adoptEnd(OrderState &State) {
+  const std::string &Service = State.Order.service();
+  const proto::RolloutProgress *Own =
+      this->Rollouts.find(Service, State.Order.number());
+  const proto::RolloutProgress *Ended =
+      this->Rollouts.mostAdvanced(Service, State.Order.number());
+  if (Ended->state() == Own->state())
+    return;
+  proto::RolloutProgress Next = *Own;
+  Next.set_state(Ended->state());
+  Next.set_share_permille(Ended->share_permille());
+  this->publish(State, std::move(Next));
+}
+
 RolloutSituation RolloutDriver::makeSituation(const OrderState &State) const {
   RolloutSituation Result;
   const MonoTime Now = monoNow();
--- a/persimmonquay/daemon/rollout_driver.h
+++ b/persimmonquay/daemon/rollout_driver.h
@@ -69,6 +69,8 @@
   void recordResult(const UpstreamCallResult &Result);
   void sendOwnTallies();
   void processOrder(OrderState &State);
+  /// Ends the rollout if another order that is the same has ended.
+  void adoptEnd(OrderState &State);
   bool isDriver(const OrderState &State) const;
   void decide(OrderState &State);
   void publish(OrderState &State, proto::RolloutProgress Progress);
--- a/persimmonquay/rollout/rollout_table.cc
+++ b/persimmonquay/rollout/rollout_table.cc
@@ -1,5 +1,7 @@
 #include "persimmonquay/rollout/rollout_table.h"
 
+#include "persimmonquay/rollout/order_sequence.h"
+#include <algorithm>
 #include <tuple>
 
 namespace persimmonquay {
@@ -16,9 +18,27 @@
 
 } // namespace internal
 
+void RolloutTable::linkOrders(EntriesByNumber &Entries) {
+  std::map<std::uint64_t, std::string> Targets;
+  for (const auto &[Number, Rollout] : Entries)
+    Targets[Number] = Rollout.Progress.order().target_version();
+  for (const auto &[Number, Original] : originalOrders(Targets))
+    Entries.at(Number).Original = Original;
+}
+
+void RolloutTable::updateStates(EntriesByNumber &Entries) {
+  std::map<std::uint64_t, proto::RolloutState> States;
+  for (const auto &[Number, Rollout] : Entries) {
+    proto::RolloutState &State = States[Rollout.Original];
+    State = std::max(State, Rollout.Progress.state());
+  }
+  for (auto &[Number, Rollout] : Entries)
+    Rollout.State = States.at(Rollout.Original);
+}
+
 bool RolloutTable::merge(const proto::RolloutProgress &Progress) {
-  RolloutEntry &Rollout = this->EntriesByService[Progress.order().service()]
-                                                [Progress.order().number()];
+  EntriesByNumber &Entries = this->EntriesByService[Progress.order().service()];
+  RolloutEntry &Rollout = Entries[Progress.order().number()];
   const bool IsNew = Rollout.Progress.order().service().empty();
   if (!IsNew && internal::progressRank(Progress) <=
                     internal::progressRank(Rollout.Progress))
@@ -30,6 +50,9 @@
     Rollout.Split.emplace(std::vector<std::uint32_t>{
         internal::WholePermille - Progress.share_permille(),
         Progress.share_permille()});
+  if (IsNew)
+    linkOrders(Entries);
+  updateStates(Entries);
   return true;
 }
 
@@ -39,16 +62,17 @@
   if (Found == this->EntriesByService.end())
     return Filter;
   for (const auto &[Number, Rollout] : Found->second) {
+    if (Rollout.Original != Number)
+      continue;
     const std::string &Target = Rollout.Progress.order().target_version();
-    if (Rollout.Progress.state() == proto::COMPLETED) {
+    if (Rollout.State == proto::COMPLETED) {
       Filter.Required = Target;
       Filter.Excluded.erase(Target);
     } else {
       Filter.Excluded.insert(Target);
       // A later order for the version that already serves all calls removes it
       // only if that order was rolled back.
-      if (Filter.Required == Target &&
-          Rollout.Progress.state() == proto::ROLLED_BACK)
+      if (Filter.Required == Target && Rollout.State == proto::ROLLED_BACK)
         Filter.Required.reset();
     }
   }
@@ -61,7 +85,7 @@
     return {};
   for (auto It = Found->second.rbegin(); It != Found->second.rend(); ++It) {
     RolloutEntry &Rollout = It->second;
-    if (Rollout.Progress.state() != proto::RUNNING ||
+    if (Rollout.Original != It->first || Rollout.State != proto::RUNNING ||
         Rollout.Progress.share_permille() == 0 || !Rollout.Split ||
         Rollout.Split->next() == 0)
       continue;
@@ -72,13 +96,41 @@
   return this->baselineVersions(Service);
 }
 
-const proto::RolloutProgress *RolloutTable::find(const std::string &Service,
-                                                 std::uint64_t Number) const {
+const RolloutTable::RolloutEntry *
+RolloutTable::findEntry(const std::string &Service,
+                        std::uint64_t Number) const {
   const auto Found = this->EntriesByService.find(Service);
   if (Found == this->EntriesByService.end())
     return nullptr;
   const auto Rollout = Found->second.find(Number);
-  return Rollout == Found->second.end() ? nullptr : &Rollout->second.Progress;
+  return Rollout == Found->second.end() ? nullptr : &Rollout->second;
+}
+
+const proto::RolloutProgress *RolloutTable::find(const std::string &Service,
+                                                 std::uint64_t Number) const {
+  const RolloutEntry *Entry = this->findEntry(Service, Number);
+  return Entry == nullptr ? nullptr : &Entry->Progress;
+}
+
+bool RolloutTable::isRepetition(const std::string &Service,
+                                std::uint64_t Number) const {
+  const RolloutEntry *Entry = this->findEntry(Service, Number);
+  return Entry != nullptr && Entry->Original != Number;
+}
+
+const proto::RolloutProgress *
+RolloutTable::mostAdvanced(const std::string &Service,
+                           std::uint64_t Number) const {
+  const RolloutEntry *Entry = this->findEntry(Service, Number);
+  if (Entry == nullptr)
+    return nullptr;
+  const proto::RolloutProgress *Result = &Entry->Progress;
+  for (const auto &[Other, Rollout] : this->EntriesByService.at(Service))
+    if (Rollout.Original == Entry->Original &&
+        internal::progressRank(Rollout.Progress) >
+            internal::progressRank(*Result))
+      Result = &Rollout.Progress;
+  return Result;
 }
 
 std::vector<const proto::RolloutProgress *> RolloutTable::all() const {
@@ -96,7 +148,7 @@
   if (Found == this->EntriesByService.end())
     return Result;
   for (auto It = Found->second.rbegin(); It != Found->second.rend(); ++It)
-    if (It->second.Progress.state() == proto::RUNNING)
+    if (It->second.Original == It->first && It->second.State == proto::RUNNING)
       Result.push_back(&It->second.Progress);
   return Result;
 }
--- a/persimmonquay/rollout/rollout_table.h
+++ b/persimmonquay/rollout/rollout_table.h
@@ -31,6 +31,9 @@
 /// merged in any order: a rollout that has ended stays ended, whatever older
 /// copies say.
 ///
+/// Several orders may be the same one; see `originalOrders()`. Of these only
+/// the original gets calls, and once one of them has ended, all have.
+///
 /// Handles this load pattern: a new version may be bad, so that only its share
 /// of the calls, evenly spread, may reach it.
 ///
@@ -58,6 +61,14 @@
   const proto::RolloutProgress *find(const std::string &Service,
                                      std::uint64_t Number) const;
 
+  /// Returns whether another order counts instead of this one.
+  bool isRepetition(const std::string &Service, std::uint64_t Number) const;
+
+  /// Returns the most advanced progress of all orders that are the same as this
+  /// one, or null if it is unknown.
+  const proto::RolloutProgress *mostAdvanced(const std::string &Service,
+                                             std::uint64_t Number) const;
+
   /// Returns the versions that serve all calls which no running rollout sends
   /// to its target version.
   VersionFilter baselineVersions(const std::string &Service) const;
@@ -72,11 +83,22 @@
 private:
   struct RolloutEntry {
     proto::RolloutProgress Progress;
+    /// See `originalOrders()`.
+    std::uint64_t Original = 0;
+    /// State of the rollout over all orders that are the same.
+    proto::RolloutState State = proto::ROLLOUT_STATE_UNSPECIFIED;
     /// Splits calls between the other versions (0) and the target version (1).
     std::optional<TrafficSplit> Split;
   };
   using EntriesByNumber = std::map<std::uint64_t, RolloutEntry>;
 
+  /// Finds out which orders are the same.
+  static void linkOrders(EntriesByNumber &Entries);
+  /// Adopts the state of the most advanced one of the orders that are the same.
+  static void updateStates(EntriesByNumber &Entries);
+  const RolloutEntry *findEntry(const std::string &Service,
+                                std::uint64_t Number) const;
+
   std::map<std::string, EntriesByNumber> EntriesByService;
 };
 
--- a/testing/platform/store_feed_test.cc
+++ b/testing/platform/store_feed_test.cc
@@ -318,4 +318,20 @@
   }
 }
 
+// The number of an order was its offset, which is given out again, so that the
+// next order had a lower number than a known one, or that of another.
+TEST_CASE("orders that follow a restore have higher numbers") {
+  FollowingFixture Fixture;
+  Fixture.Store.takeCopy();
+  Fixture.write("config", configuration(11));
+  Fixture.write("rollout/gallery", rolloutTo("v2"));
+  Fixture.runFor(FollowingFixture::FollowTime);
+  REQUIRE(Fixture.Orders.size() == 1);
+  Fixture.playDrill(Millis(100), {{"rollout/gallery", rolloutTo("v3")}});
+  Fixture.runFor(FollowingFixture::ApplyTime);
+  REQUIRE(Fixture.Orders.size() == 2);
+  CHECK(Fixture.Orders[1].target_version() == "v3");
+  CHECK(Fixture.Orders[1].number() > Fixture.Orders[0].number());
+}
+
 } // namespace persimmonquay::testing
