fleet: an evacuation outlasts a restore of the store, and a later one counts (CONFIG)

Cause: an evacuation's number was the offset of its record, as with orders of rollouts: after a restore an order could have a lower number than a known removal and was ignored. A list of the restored store ended an evacuation whose record was lost and not yet written again. Tests: platform_test 'an evacuation outlasts a restore', 'removed before a restore', failing before; fleet_test.

--- a/persimmonquay/daemon/mesh_node.cc
+++ b/persimmonquay/daemon/mesh_node.cc
@@ -471,9 +471,9 @@
 }
 
 void MeshNode::applyEvacuationList(const std::vector<proto::Evacuation> &Active,
-                                   std::uint64_t ListNumber) {
+                                   std::uint64_t ListNumber, bool IsSettled) {
   for (const proto::Evacuation &End :
-       this->Evacuations.endedBy(Active, ListNumber))
+       this->Evacuations.endedBy(Active, ListNumber, IsSettled))
     this->addEvacuation(End);
 }
 
--- a/persimmonquay/daemon/mesh_node.h
+++ b/persimmonquay/daemon/mesh_node.h
@@ -105,7 +105,7 @@
   /// Ends the evacuations that a complete list on the store doesn't hold; see
   /// `EvacuationTable::endedBy()`.
   void applyEvacuationList(const std::vector<proto::Evacuation> &Active,
-                           std::uint64_t ListNumber);
+                           std::uint64_t ListNumber, bool IsSettled);
 
   /// Merges stored entries of other nodes and joins the mesh through those that
   /// are new or newer than the known ones. Called after `restoreOwnEntry()`.
--- a/persimmonquay/fleet/evacuation_table.cc
+++ b/persimmonquay/fleet/evacuation_table.cc
@@ -1,5 +1,6 @@
 #include "persimmonquay/fleet/evacuation_table.h"
 
+#include "persimmonquay/base/record_position.h"
 #include <algorithm>
 
 namespace persimmonquay {
@@ -35,7 +36,8 @@
 
 std::vector<proto::Evacuation>
 EvacuationTable::endedBy(const std::vector<proto::Evacuation> &Listed,
-                         std::uint64_t ListNumber) const {
+                         std::uint64_t ListNumber, bool IsSettled) const {
+  const std::uint64_t ListEra = RecordPosition::fromNumber(ListNumber).Era;
   std::vector<proto::Evacuation> Result;
   for (const auto &[DataCentre, Copy] : this->Newest) {
     const bool IsListed =
@@ -43,7 +45,9 @@
                     [&Copy = Copy](const proto::Evacuation &Other) {
                       return Other.data_centre() == Copy.data_centre();
                     });
-    if (!Copy.active() || IsListed || Copy.number() >= ListNumber)
+    const bool MayBeLost =
+        !IsSettled && RecordPosition::fromNumber(Copy.number()).Era != ListEra;
+    if (!Copy.active() || IsListed || Copy.number() >= ListNumber || MayBeLost)
       continue;
     proto::Evacuation &End = Result.emplace_back(Copy);
     End.set_number(ListNumber);
--- a/persimmonquay/fleet/evacuation_table.h
+++ b/persimmonquay/fleet/evacuation_table.h
@@ -14,6 +14,7 @@
 
 /// The newest known evacuation of each data centre. Copies may arrive in any
 /// order, by gossip and from the store; the one with the highest number counts.
+/// Numbers are those of `RecordPosition`.
 ///
 /// Handles a node that starts during an evacuation, that of its own data centre
 /// included, and a withdrawal that overtakes the order.
@@ -41,10 +42,12 @@
 
   /// Returns the ends of the evacuations that are known as active but missing
   /// in `Listed`, a complete list of the active ones. `ListNumber` is the
-  /// highest number that any record had when the list was read.
+  /// highest number that any record had when the list was read. Unless the list
+  /// `IsSettled`, an evacuation of an earlier era of the log may be missing
+  /// because its record was lost, and doesn't end.
   std::vector<proto::Evacuation>
   endedBy(const std::vector<proto::Evacuation> &Listed,
-          std::uint64_t ListNumber) const;
+          std::uint64_t ListNumber, bool IsSettled) const;
 
   /// Returns whether a copy is newer than those in `Known`, or missing there.
   bool hasNewerThan(const Copies &Known) const;
--- a/persimmonquay/fleet/evacuation_table_test.cc
+++ b/persimmonquay/fleet/evacuation_table_test.cc
@@ -1,3 +1,4 @@
+#include "persimmonquay/base/record_position.h"
 #include "persimmonquay/fleet/evacuation_table.h"
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -49,7 +50,7 @@
   Table.merge(copyOf("west", 4, true));
   Table.merge(copyOf("north", 12, true));
   const std::vector<proto::Evacuation> Ended =
-      Table.endedBy({copyOf("west", 4, true)}, 10);
+      Table.endedBy({copyOf("west", 4, true)}, 10, /*IsSettled=*/true);
   REQUIRE(Ended.size() == 1);
   CHECK(Ended[0].data_centre() == "east");
   CHECK(Table.merge(Ended[0]));
@@ -62,6 +63,24 @@
   CHECK(Table.isEvacuated("east"));
 }
 
+// A store that comes back from an older copy has lost the record.
+TEST_CASE("a list of another era ends an evacuation only once it is settled") {
+  EvacuationTable Table;
+  Table.merge(copyOf("east", RecordPosition{1, 9}.number(), true));
+  const std::uint64_t ListNumber = RecordPosition{2, 5}.number();
+  CHECK(Table.endedBy({}, ListNumber, /*IsSettled=*/false).empty());
+  const std::vector<proto::Evacuation> Ended =
+      Table.endedBy({}, ListNumber, /*IsSettled=*/true);
+  REQUIRE(Ended.size() == 1);
+  // Ordered again at an offset below that of the first order.
+  CHECK(Table.merge(copyOf("east", RecordPosition{2, 3}.number(), true)));
+  CHECK(Table.isEvacuated("east"));
+  CHECK(Table.merge(Ended[0]));
+  CHECK(Table.merge(copyOf("east", RecordPosition{2, 6}.number(), true)));
+  // In the era of the list, a missing record has been removed.
+  CHECK(Table.endedBy({}, RecordPosition{2, 8}.number(), false).size() == 1);
+}
+
 TEST_CASE("a table knows what a message lacks") {
   EvacuationTable Table;
   Table.merge(copyOf("east", 3, true));
--- a/testing/platform/store_feed_test.cc
+++ b/testing/platform/store_feed_test.cc
@@ -72,9 +72,9 @@
     };
     Result.OnEvacuationList =
         [this](const std::vector<proto::Evacuation> &Active,
-               std::uint64_t ListNumber) {
+               std::uint64_t ListNumber, bool IsSettled) {
           for (const proto::Evacuation &End :
-               this->Evacuations.endedBy(Active, ListNumber))
+               this->Evacuations.endedBy(Active, ListNumber, IsSettled))
             this->Evacuations.merge(End);
         };
     Result.OnNodeEntries = [](const std::vector<proto::NodeEntry> &) {};
@@ -334,4 +334,38 @@
   CHECK(Fixture.Orders[1].number() > Fixture.Orders[0].number());
 }
 
+// A list of the restored store lacked an evacuation that had not been written
+// again yet, and ended it; one written again had a lower number than its end.
+TEST_CASE("an evacuation outlasts a restore that loses its record") {
+  FollowingFixture Fixture;
+  Fixture.Store.takeCopy();
+  Fixture.write("config", configuration(11));
+  Fixture.write("evacuate/east", "{}");
+  Fixture.runFor(FollowingFixture::FollowTime);
+  REQUIRE(Fixture.Evacuations.isEvacuated("east"));
+  Fixture.playDrill(Millis(100), {});
+  Fixture.runFor(FollowingFixture::ApplyTime);
+  CHECK(Fixture.Evacuations.isEvacuated("east"));
+  Fixture.write("evacuate/east", "{}");
+  Fixture.runFor(FollowingFixture::FollowTime);
+  CHECK(Fixture.Evacuations.isEvacuated("east"));
+  Fixture.write("evacuate/east", "");
+  Fixture.runFor(FollowingFixture::FollowTime);
+  CHECK_FALSE(Fixture.Evacuations.isEvacuated("east"));
+}
+
+TEST_CASE("an evacuation that was removed before a restore can be ordered "
+          "again") {
+  FollowingFixture Fixture;
+  Fixture.Store.takeCopy();
+  Fixture.write("config", configuration(11));
+  Fixture.write("evacuate/east", "{}");
+  Fixture.write("evacuate/east", "");
+  Fixture.runFor(FollowingFixture::FollowTime);
+  REQUIRE_FALSE(Fixture.Evacuations.isEvacuated("east"));
+  Fixture.playDrill(Millis(100), {{"evacuate/east", "{}"}});
+  Fixture.runFor(FollowingFixture::ApplyTime);
+  CHECK(Fixture.Evacuations.isEvacuated("east"));
+}
+
 } // namespace persimmonquay::testing
