--- a/persimmonquay/rollout/rollout_evidence.cc
+++ b/persimmonquay/rollout/rollout_evidence.cc
@@ -22,8 +22,10 @@
   SpanCounts &Counts = this->OpenSpans[Tally.route()];
   Counts.Span = this->Span;
   VersionCounts &Version = IsTarget ? Counts.New : Counts.Old;
-  Version.Calls += Tally.calls() - Previous.calls();
-  Version.Errors += Tally.failures() - Previous.failures();
+  const std::uint32_t Rejected = Tally.rejected() - Previous.rejected();
+  Version.Calls += Tally.calls() - Previous.calls() - Rejected;
+  Version.Errors += Tally.failures() - Previous.failures() - Rejected;
+  Version.Rejected += Rejected;
   for (int I = 0; I < std::min<int>(Tally.latency_size(), LatencyBucketCount);
        ++I) {
     const std::uint32_t PreviousCount =
--- a/persimmonquay/rollout/rollout_policy.cc
+++ b/persimmonquay/rollout/rollout_policy.cc
@@ -111,8 +111,10 @@
       Total.Span = Span.Span;
       Total.Old.Calls += Span.Old.Calls;
       Total.Old.Errors += Span.Old.Errors;
+      Total.Old.Rejected += Span.Old.Rejected;
       Total.New.Calls += Span.New.Calls;
       Total.New.Errors += Span.New.Errors;
+      Total.New.Rejected += Span.New.Rejected;
       for (std::size_t I = 0; I < LatencyBucketCount; ++I) {
         Total.Old.Latency[I] += Span.Old.Latency[I];
         Total.New.Latency[I] += Span.New.Latency[I];
@@ -147,6 +149,7 @@
 void add(const VersionCounts &Part, VersionCounts *Sum) {
   Sum->Calls += Part.Calls;
   Sum->Errors += Part.Errors;
+  Sum->Rejected += Part.Rejected;
   for (std::size_t I = 0; I < LatencyBucketCount; ++I)
     Sum->Latency[I] += Part.Latency[I];
 }
@@ -169,6 +172,11 @@
   return Result;
 }
 
+/// Returns how many of the calls that reached the version it rejected.
+CallHealth rejections(const VersionCounts &Counts) {
+  return {Counts.Calls + Counts.Rejected, Counts.Rejected};
+}
+
 /// Returns by how many standard deviations the target's bad calls exceed the
 /// number tolerated, which is 1.5 times the others' rate plus `Margin`.
 double excessDeviations(const CallHealth &Target, const CallHealth &Others,
@@ -194,16 +202,19 @@
     const std::size_t FirstSlowBucket =
         firstSlowBucket(Old.Latency, SlowQuantile);
     const CallHealth Others = callHealth(Old, FirstSlowBucket);
-    const CallHealth All = callHealth(
-        latestTargetCounts(Spans, std::numeric_limits<double>::infinity()),
-        FirstSlowBucket);
+    const VersionCounts AllCounts =
+        latestTargetCounts(Spans, std::numeric_limits<double>::infinity());
+    const CallHealth All = callHealth(AllCounts, FirstSlowBucket);
     const CallHealth Latest = callHealth(
         latestTargetCounts(Spans, RecentCallsForShare), FirstSlowBucket);
     // The sum of all routes is in `ByRoute` too, so that every call counts
     // twice.
     CountedCalls += All.Calls;
     const double ExcessOfAll = excessDeviations(All, Others, BadRateMargin);
-    WorstExcess = std::max(WorstExcess, ExcessOfAll);
+    // A version that rejects calls lacks room, which is no harm to them.
+    const double ExcessRejections =
+        excessDeviations(rejections(AllCounts), rejections(Old), BadRateMargin);
+    WorstExcess = std::max({WorstExcess, ExcessOfAll, ExcessRejections});
     // A few calls on a rarely used route are too little evidence for lowering
     // the share.
     if (Latest.Calls >= RecentCallsForShare)
@@ -227,8 +238,10 @@
                          const std::vector<SpanCounts> &Spans,
                          std::uint32_t SharePermille) {
   const double TargetCalls =
-      latestTargetCounts(Spans, std::numeric_limits<double>::infinity()).Calls;
-  const double Calls = sumOfOldVersion(Spans).Calls + TargetCalls;
+      rejections(
+          latestTargetCounts(Spans, std::numeric_limits<double>::infinity()))
+          .Calls;
+  const double Calls = rejections(sumOfOldVersion(Spans)).Calls + TargetCalls;
   const double Elapsed =
       std::chrono::duration<double>(Situation.Elapsed).count();
   const double Duration =
--- a/persimmonquay/rollout/rollout_policy.h
+++ b/persimmonquay/rollout/rollout_policy.h
@@ -58,7 +58,8 @@
 ///   harm that begins late shows while the share is still small. Each step is
 ///   only taken after the one before has been checked.
 /// - Each route is judged by the test in move/harm_evidence.h. A version that
-///   is shown to do harm is rolled back.
+///   is shown to do harm is rolled back. Calls that an upstream rejects without
+///   running them are no failures of its version.
 /// - If the target's latest calls are worse than the others' while its share is
 ///   above `Limits.Share`, the share is lowered to the first step, so that a
 ///   version that fails only under load gets few calls while it is judged. If
--- a/persimmonquay/rollout/rollout_test.cc
+++ b/persimmonquay/rollout/rollout_test.cc
@@ -70,10 +70,20 @@
 /// as the driver does.
 class SimulatedRollout {
 public:
-  /// Returns whether a call fails and its latency, given the time since the
-  /// rollout was ordered and the target's share of the calls (0 to 1).
-  using CallModel =
-      std::function<std::pair<bool, Micros>(double Seconds, double Share)>;
+  /// The end of a call.
+  struct CallEnd {
+    CallEnd(std::pair<bool, Micros> FailedAndLatency)
+        : Failed(FailedAndLatency.first), Latency(FailedAndLatency.second) {}
+
+    bool Failed;
+    Micros Latency;
+    /// Rejected by the upstream without being run.
+    bool Rejected = false;
+  };
+
+  /// Returns the end of a call, given the time since the rollout was ordered
+  /// and the target's share of the calls (0 to 1).
+  using CallModel = std::function<CallEnd(double Seconds, double Share)>;
 
   struct Result {
     RolloutDecision::Kind FinalAction = RolloutDecision::Kind::Hold;
@@ -105,14 +115,14 @@
     for (double Now = Step; Now < Duration; Now += Step) {
       for (int Call = 0; Call < CallsPerSecond * Step; ++Call) {
         const bool Target = std::bernoulli_distribution(Share / 1000.0)(Random);
-        const auto [Failed, Latency] =
-            (Target ? New : Old)(Now, Share / 1000.0);
+        const CallEnd End = (Target ? New : Old)(Now, Share / 1000.0);
         proto::RolloutTally &Tally = Tallies[Target ? 1 : 0];
         Tally.set_calls(Tally.calls() + 1);
-        if (Failed) {
+        if (End.Failed || End.Rejected) {
           Tally.set_failures(Tally.failures() + 1);
+          Tally.set_rejected(Tally.rejected() + (End.Rejected ? 1 : 0));
         } else {
-          const int Bucket = static_cast<int>(latencyBucket(Latency));
+          const int Bucket = static_cast<int>(latencyBucket(End.Latency));
           Tally.set_latency(Bucket, Tally.latency(Bucket) + 1);
         }
         Outcome.AllCalls += 1;
@@ -257,6 +267,75 @@
       165, 0.02);
 }
 
+/// Returns a call that fails with a probability of `FailureRate`.
+SimulatedRollout::CallEnd failingCall(std::mt19937_64 &Random,
+                                      double FailureRate) {
+  std::pair<bool, Micros> Call = healthyCall(Random);
+  Call.first |= std::bernoulli_distribution(FailureRate)(Random);
+  return Call;
+}
+
+/// Returns whether old upstreams are in trouble: for 8.5 s from the order on,
+/// or from 2 s after it on.
+bool isInTrouble(double Start, double Now) {
+  return Now >= Start && Now < Start + 8.5;
+}
+
+// Guards against taking rejected calls for failures of the old version: in a
+// simulated day its upstreams turned calls away for some seconds, and a version
+// that failed half of its calls was completed.
+TEST_CASE("a bad version is rolled back while the old upstreams reject calls") {
+  for (const double Start : {0.0, 2.0})
+    for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
+      CAPTURE(Start);
+      CAPTURE(Seed);
+      std::mt19937_64 Random(Seed * 104729);
+      const SimulatedRollout::Result Outcome = SimulatedRollout::run(
+          [&](double Now, double) {
+            SimulatedRollout::CallEnd End = failingCall(Random, 0);
+            End.Rejected = isInTrouble(Start, Now) &&
+                           std::bernoulli_distribution(0.55)(Random);
+            return End;
+          },
+          [&](double, double) { return failingCall(Random, 0.5); }, 130, Seed);
+      CHECK(Outcome.FinalAction == RolloutDecision::Kind::RollBack);
+      CHECK(Outcome.TargetCalls <= 50);
+    }
+}
+
+TEST_CASE("a good version is completed although all upstreams reject calls") {
+  for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
+    CAPTURE(Seed);
+    std::mt19937_64 Random(Seed * 104729);
+    const auto Call = [&](double Now, double) {
+      SimulatedRollout::CallEnd End = failingCall(Random, 0);
+      End.Rejected =
+          isInTrouble(2, Now) && std::bernoulli_distribution(0.3)(Random);
+      return End;
+    };
+    CHECK(SimulatedRollout::run(Call, Call, 130, Seed).FinalAction ==
+          RolloutDecision::Kind::Complete);
+  }
+}
+
+TEST_CASE("a version that rejects far more calls than the old one gets no "
+          "larger share") {
+  for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
+    CAPTURE(Seed);
+    std::mt19937_64 Random(Seed * 104729);
+    const SimulatedRollout::Result Outcome = SimulatedRollout::run(
+        [&](double, double) { return failingCall(Random, 0); },
+        [&](double, double) {
+          SimulatedRollout::CallEnd End = failingCall(Random, 0);
+          End.Rejected = std::bernoulli_distribution(0.5)(Random);
+          return End;
+        },
+        130, Seed);
+    CHECK(Outcome.FinalAction == RolloutDecision::Kind::RollBack);
+    CHECK(Outcome.TargetCalls <= 0.1 * Outcome.AllCalls + 50);
+  }
+}
+
 // Guards against lowering the share because of a few calls: in an incident, two
 // failures in three calls on a rarely used route lowered the share of a good
 // version, which then could not be completed.
