rollout: exposure is judged by all calls since the order; linear time over the spans

Cause: after a pause, when the counts begin anew, the calls that the new version had had before were left out of the check that it stays within the exposure limit. Windows of failure rates were added up anew for each span, which on a rollout of half an hour at low load is quadratic. Change: the situation states the calls since the order; the windows slide. Format of one comment. rollout_test and daemon_test pass.

--- a/persimmonquay/daemon/rollout_driver.cc
+++ b/persimmonquay/daemon/rollout_driver.cc
@@ -306,6 +306,9 @@
   Result.Fallbacks = State.Fallbacks;
   const RolloutEvidence::Totals &Target = State.Evidence->target();
   Result.IsPaused = Result.SharePermille == 0 && Target.Calls > 0;
+  Result.AllCalls =
+      static_cast<double>(Target.Calls + State.Evidence->others().Calls);
+  Result.TargetCalls = static_cast<double>(Target.Calls);
   Result.TargetFailures =
       static_cast<double>(Target.Failures - Target.Rejected);
   Result.OthersBeforeOrder = State.Evidence->othersBeforeOrder();
--- a/persimmonquay/move/evidence_table.h
+++ b/persimmonquay/move/evidence_table.h
@@ -23,8 +23,8 @@
 struct VersionCounts {
   double Calls = 0;
   double Errors = 0;
-  /// Calls that the upstream rejected and did not run, which are not in `Calls`.
-  /// Not counted by `EvidenceTable`.
+  /// Calls that the upstream rejected and did not run, which are not in
+  /// `Calls`. Not counted by `EvidenceTable`.
   double Rejected = 0;
   /// Calls by latency bucket.
   std::array<double, LatencyBucketCount> Latency{};
--- a/persimmonquay/rollout/reference_health.cc
+++ b/persimmonquay/rollout/reference_health.cc
@@ -22,20 +22,28 @@
 constexpr double TroubleRatio = 2;
 constexpr double TroubleMargin = 0.1;
 
-/// Returns the failure rate of the other versions in the newest spans up to
-/// `Last` that hold at least `MinCalls` of their calls; none if they hold
-/// fewer.
-std::optional<double> windowErrorRate(const std::vector<SpanCounts> &Spans,
-                                      std::size_t Last, double MinCalls) {
+/// Returns, for each span, the failure rate of the other versions in the newest
+/// spans up to it that hold at least `MinCalls` of their calls; none if there
+/// have been fewer.
+std::vector<std::optional<double>>
+windowErrorRates(const std::vector<SpanCounts> &Spans, double MinCalls) {
+  std::vector<std::optional<double>> Result;
+  Result.reserve(Spans.size());
   double Calls = 0;
   double Errors = 0;
-  for (std::size_t I = Last + 1; I-- > 0 && Calls < MinCalls;) {
-    Calls += Spans[I].Old.Calls;
-    Errors += Spans[I].Old.Errors;
+  std::size_t First = 0;
+  for (const SpanCounts &Span : Spans) {
+    Calls += Span.Old.Calls;
+    Errors += Span.Old.Errors;
+    while (Calls - Spans[First].Old.Calls >= MinCalls) {
+      Calls -= Spans[First].Old.Calls;
+      Errors -= Spans[First].Old.Errors;
+      ++First;
+    }
+    Result.push_back(Calls < MinCalls ? std::nullopt
+                                      : std::optional<double>(Errors / Calls));
   }
-  if (Calls < MinCalls)
-    return std::nullopt;
-  return Errors / Calls;
+  return Result;
 }
 
 std::optional<double> usualErrorRate(const std::vector<SpanCounts> &Spans,
@@ -43,9 +51,9 @@
   std::optional<double> Result;
   if (BeforeOrder.Calls >= MinCallsBeforeOrder)
     Result = BeforeOrder.Errors / BeforeOrder.Calls;
-  for (std::size_t I = 0; I < Spans.size(); ++I)
-    if (const std::optional<double> Rate =
-            windowErrorRate(Spans, I, UsualWindowCalls))
+  for (const std::optional<double> &Rate :
+       windowErrorRates(Spans, UsualWindowCalls))
+    if (Rate)
       Result = std::min(Result.value_or(*Rate), *Rate);
   return Result;
 }
@@ -58,12 +66,12 @@
   const double TroubleRate =
       internal::TroubleRatio * this->UsualErrorRate.value_or(0) +
       internal::TroubleMargin;
+  const std::vector<std::optional<double>> Rates =
+      internal::windowErrorRates(Spans, internal::TroubleWindowCalls);
   for (std::size_t I = 0; I < Spans.size(); ++I) {
-    const std::optional<double> Rate =
-        internal::windowErrorRate(Spans, I, internal::TroubleWindowCalls);
-    this->States.push_back(!Rate                 ? SpanState::Unknown
-                           : *Rate > TroubleRate ? SpanState::Troubled
-                                                 : SpanState::Sound);
+    this->States.push_back(!Rates[I]                 ? SpanState::Unknown
+                           : *Rates[I] > TroubleRate ? SpanState::Troubled
+                                                     : SpanState::Sound);
     if (this->States.back() != SpanState::Troubled)
       this->SoundSpans.push_back(Spans[I]);
   }
--- a/persimmonquay/rollout/rollout_policy.cc
+++ b/persimmonquay/rollout/rollout_policy.cc
@@ -276,21 +276,15 @@
 /// for `Time` and then turns out to be bad.
 bool staysWithinExposure(const ExposureLimits &Limits,
                          const RolloutSituation &Situation,
-                         const std::vector<SpanCounts> &Spans,
                          std::uint32_t SharePermille, Millis Time) {
-  const double TargetCalls =
-      rejections(
-          latestTargetCounts(Spans, std::numeric_limits<double>::infinity()))
-          .Calls;
-  const double Calls = rejections(sumOfOldVersion(Spans)).Calls + TargetCalls;
   const double Elapsed =
       std::chrono::duration<double>(Situation.Elapsed).count();
   const double Duration =
       std::chrono::duration<double>(Situation.Duration).count();
-  const double CallsPerSecond = Calls / std::max(Elapsed, 1.0);
+  const double CallsPerSecond = Situation.AllCalls / std::max(Elapsed, 1.0);
   const double FurtherCalls = std::chrono::duration<double>(Time).count() *
                               CallsPerSecond * SharePermille / WholePermille;
-  return TargetCalls + FurtherCalls <=
+  return Situation.TargetCalls + FurtherCalls <=
          Limits.Share * CallsPerSecond * Duration + Limits.ExtraCalls;
 }
 
@@ -374,16 +368,14 @@
 /// Returns the share with which a rollout begins, or goes on after a pause.
 /// Late in its duration the target needs more calls to be judged in time.
 std::uint32_t initialShare(const ExposureLimits &Limits,
-                           const RolloutSituation &Situation,
-                           const std::vector<SpanCounts> &AllSpans,
-                           double Progress) {
+                           const RolloutSituation &Situation, double Progress) {
   const auto TimeLeft =
       std::chrono::duration_cast<Millis>(Situation.Duration *
                                          MinProgressToRollBackUnproven) -
       Situation.Elapsed;
   if (Progress < ShareSteps[1].MinProgress ||
-      !staysWithinExposure(Limits, Situation, AllSpans,
-                           ShareSteps[1].SharePermille, TimeLeft))
+      !staysWithinExposure(Limits, Situation, ShareSteps[1].SharePermille,
+                           TimeLeft))
     return ShareSteps[0].SharePermille;
   return ShareSteps[1].SharePermille;
 }
@@ -485,8 +477,7 @@
     if (Situation.IsPaused && !MayResume)
       return Result;
     Result.Action = RolloutDecision::Kind::SetShare;
-    Result.SharePermille = internal::initialShare(
-        Limits, Situation, RoutesAndTotal.at(internal::AllRoutes), Progress);
+    Result.SharePermille = internal::initialShare(Limits, Situation, Progress);
     return Result;
   }
   std::uint32_t PlannedPermille = Situation.SharePermille;
@@ -538,9 +529,8 @@
     if (Verdict != internal::HealthVerdict::Healthy || !HasCapacityForAll)
       return Result;
     if (Situation.Fallbacks > 0 &&
-        !internal::staysWithinExposure(
-            Limits, Situation, RoutesAndTotal.at(internal::AllRoutes),
-            PlannedPermille, internal::MinTimeAtStep)) {
+        !internal::staysWithinExposure(Limits, Situation, PlannedPermille,
+                                       internal::MinTimeAtStep)) {
       Result.Action = RolloutDecision::Kind::RollBack;
       Result.Reason =
           "it was worse under a larger share, and no calls are left "
--- a/persimmonquay/rollout/rollout_policy.h
+++ b/persimmonquay/rollout/rollout_policy.h
@@ -38,7 +38,10 @@
   std::uint32_t Fallbacks = 0;
   /// Whether the rollout pauses: the target has had calls, and gets none now.
   bool IsPaused = false;
-  /// Calls of the target that have failed since the order, pauses included.
+  /// Calls of all versions and of the target since the order, rejected ones
+  /// included, and those of the target that ran and failed.
+  double AllCalls = 0;
+  double TargetCalls = 0;
   double TargetFailures = 0;
   /// Calls of the other versions until the order, by route; their failures are
   /// the usual ones.
@@ -70,11 +73,10 @@
 ///   is shown to do harm is rolled back. Calls that an upstream rejects without
 ///   running them are no failures of its version.
 /// - The other versions excuse the target's failures only as far as they
-/// usually
-///   fail; see `ReferenceHealth`. If the target fails often while they are in
-///   trouble, it can't be told whether it is to blame: the rollout pauses until
-///   they are well again. Once the target has failed too many calls in all, it
-///   is rolled back whatever the others do.
+///   usually fail; see `ReferenceHealth`. If the target fails often while they
+///   are in trouble, it can't be told whether it is to blame: the rollout
+///   pauses until they are sound again. Once the target has failed too many
+///   calls in all, it is rolled back whatever the others do.
 /// - If the target's latest calls are worse than the others' while its share is
 ///   above `Limits.Share`, the share is lowered to the first step, so that a
 ///   version that fails only under load gets few calls while it is judged. If
--- a/persimmonquay/rollout/rollout_test.cc
+++ b/persimmonquay/rollout/rollout_test.cc
@@ -149,6 +149,9 @@
           Millis(static_cast<int>((Now - ShareSince) * 1000));
       Situation.Fallbacks = Fallbacks;
       Situation.IsPaused = Share == 0 && Evidence.target().Calls > 0;
+      Situation.AllCalls = static_cast<double>(Evidence.target().Calls +
+                                               Evidence.others().Calls);
+      Situation.TargetCalls = static_cast<double>(Evidence.target().Calls);
       Situation.TargetFailures = static_cast<double>(
           Evidence.target().Failures - Evidence.target().Rejected);
       Situation.OthersBeforeOrder = Evidence.othersBeforeOrder();
