--- a/persimmonquay/fleet/record_cursor.h
+++ b/persimmonquay/fleet/record_cursor.h
@@ -8,7 +8,6 @@
 
 #include "persimmonquay/base/time.h"
 #include <cstdint>
-#include <optional>
 
 namespace persimmonquay {
 
@@ -18,7 +17,7 @@
 /// thread-safe.
 ///
 /// Example:
-///   if (Cursor.mustList())
+///   if (Cursor.mustList(monoNow()))
 ///     Cursor.recordList(List.Era, List.EndOffset, monoNow());
 ///   else if (!Cursor.recordRead(Batch.Era, Batch.EndOffset))
 ///     return; // The records are those of another era.
--- a/persimmonquay/fleet/record_cursor_test.cc
+++ b/persimmonquay/fleet/record_cursor_test.cc
@@ -1,5 +1,6 @@
 #include "persimmonquay/base/record_position.h"
 #include "persimmonquay/fleet/record_cursor.h"
+#include <algorithm>
 #include <cstddef>
 #include <doctest/doctest.h>
 #include <map>
